--- a/balsambank-platform/src/main/java/org/balsambank/platform/HttpExchange.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpExchange.java
@@ -1,4 +1,4 @@
-package org.balsambank.platform;
+package org.balsambank.coordination;
 
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
--- a/balsambank-platform/src/main/java/org/balsambank/platform/HttpKeyValueStore.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpKeyValueStore.java
@@ -1,4 +1,4 @@
-package org.balsambank.platform;
+package org.balsambank.coordination;
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
--- a/balsambank-platform/src/main/java/org/balsambank/platform/package-info.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the platform's key-value service and VM list. */
-package org.balsambank.platform;
+package org.balsambank.coordination;
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log of decisions. */
+package org.balsambank.core.log;
--- a/balsambank-core/src/main/java/org/balsambank/core/partition/LeaseKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/partition/LeaseKeeper.java
@@ -8,7 +8,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.LeaseId;
+import org.balsambank.core.id.VmId;
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueException.Reason;
 import org.balsambank.core.port.KeyValueStore;
@@ -22,9 +24,9 @@
  * has passed since before the last successful renewal was sent; a lease that ended is replaced by another registration
  * with a higher number, never by the same one.
  */
-final class LeaseKeeper {
+public final class LeaseKeeper {
     /** The prefix of the keys of members. */
-    static final String PREFIX = "ownership/members/";
+    public static final String PREFIX = "ownership/members/";
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration RETRY = Duration.ofMillis(250);
@@ -33,6 +35,7 @@
     private final KeyValueStore store;
     private final OwnershipSettings settings;
     private final TimerService timer;
+    private final Runnable sending;
     private final Runnable changed;
     private Optional<LeaseId> lease = Optional.empty();
     private Member member;
@@ -50,27 +53,68 @@
      * @param timer gives the time
      * @param changed runs after each registration and renewal
      */
-    LeaseKeeper(
+    public LeaseKeeper(
             final MemberRecord self,
             final KeyValueStore store,
             final OwnershipSettings settings,
             final TimerService timer,
             final Runnable changed) {
+        this(self, store, settings, timer, () -> {}, changed);
+    }
+
+    /**
+     * Creates a keeper that is not registered.
+     *
+     * @param self what this VM says of itself
+     * @param store the key-value service
+     * @param settings the durations
+     * @param timer gives the time
+     * @param sending runs before each registration and renewal is sent
+     * @param changed runs after each registration and renewal
+     */
+    public LeaseKeeper(
+            final MemberRecord self,
+            final KeyValueStore store,
+            final OwnershipSettings settings,
+            final TimerService timer,
+            final Runnable sending,
+            final Runnable changed) {
         this.self = Objects.requireNonNull(self);
         this.store = Objects.requireNonNull(store);
         this.settings = Objects.requireNonNull(settings);
         this.timer = Objects.requireNonNull(timer);
+        this.sending = Objects.requireNonNull(sending);
         this.changed = Objects.requireNonNull(changed);
         member = AssignmentCodec.decode(self.getMember());
         validUntilNanos = timer.nanoTime();
     }
 
+    /**
+     * Makes the record of a VM that starts.
+     *
+     * @param vm the VM
+     * @param boot differs for each start of the process
+     * @param domain where it stands
+     * @param host the IP number on which the others reach it
+     * @param peerPort the TCP port on which the others reach it
+     * @return what it says of itself
+     */
+    public static MemberRecord record(
+            final VmId vm, final String boot, final FailureDomain domain, final String host, final int peerPort) {
+        return MemberRecord.newBuilder()
+                .setMember(AssignmentCodec.encode(new Member(vm, boot, 0)))
+                .setFailureDomain(domain.value())
+                .setHost(host)
+                .setPeerPort(peerPort)
+                .build();
+    }
+
     /**
      * Registers and renews until the subscription is disposed.
      *
      * @return never completes
      */
-    Completable run() {
+    public Completable run() {
         return Completable.defer(this::registerAndRenew)
                 .onErrorResumeNext(error -> timer.after(RETRY))
                 .repeat();
@@ -81,7 +125,7 @@
      *
      * @return the registration, valid or not
      */
-    Member member() {
+    public Member member() {
         return member;
     }
 
@@ -91,10 +135,19 @@
      * @param owner the registration
      * @return true if it is the newest one and its lease lasts
      */
-    boolean protects(final Member owner) {
+    public boolean protects(final Member owner) {
         return registered && owner.registration() == member.registration() && timer.nanoTime() < validUntilNanos;
     }
 
+    /**
+     * Returns the lease of the newest registration.
+     *
+     * @return the lease, if there is a registration; it may have ended
+     */
+    public Optional<LeaseId> lease() {
+        return registered ? lease : Optional.empty();
+    }
+
     /**
      * Tells whether a renewal is overdue, so that the lease may end before the next one succeeds.
      *
@@ -140,7 +193,7 @@
      *
      * @return completes when the lease has ended; fails with a {@link KeyValueException}
      */
-    Completable revoke() {
+    public Completable revoke() {
         return Completable.defer(() -> {
             registered = false;
             return lease.isEmpty() ? Completable.complete() : store.revokeLease(lease.get());
@@ -148,6 +201,7 @@
     }
 
     private Completable registerAndRenew() {
+        sending.run();
         final long sentNanos = timer.nanoTime();
         return store.grantLease(settings.leaseTimeToLive())
                 .flatMap(granted -> register(granted, sentNanos))
@@ -192,6 +246,7 @@
     }
 
     private Completable renew(final LeaseId current) {
+        sending.run();
         final long sentNanos = timer.nanoTime();
         return store.renewLease(current).doOnComplete(() -> extend(sentNanos));
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/partition/Member.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/partition/Member.java
@@ -13,9 +13,9 @@
  * @param boot differs for each start of the process
  * @param registration counts the leases that the process has taken
  */
-record Member(VmId vm, String boot, int registration) {
+public record Member(VmId vm, String boot, int registration) {
     /** Checks that all parts are given. */
-    Member {
+    public Member {
         Objects.requireNonNull(vm);
         Objects.requireNonNull(boot);
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/port/KeyValueException.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/port/KeyValueException.java
@@ -40,6 +40,8 @@
         LEASE_ENDED,
         /** The service refused the call; nothing was written. */
         REFUSED,
+        /** The changes after the revision asked for are no longer kept; nothing was written. */
+        HISTORY_GONE,
         /** The call was not sent. */
         UNAVAILABLE,
         /** No answer came; a write may have taken effect. */
--- a/balsambank-core/src/main/java/org/balsambank/core/request/RetryBudget.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/request/RetryBudget.java
@@ -3,7 +3,7 @@
 /**
  * Bounds retries to a share of the requests of this VM.
  *
- * <p>Invariant: retries are at most {@link #RESERVE} + {@link #SHARE} x requests. Confined to the decision loop.
+ * <p>Invariant: retries are at most the reserve + the share x requests. Confined to the decision loop.
  */
 public final class RetryBudget {
     /** Retries allowed for each request. */
@@ -11,11 +11,30 @@
     /** Retries allowed at once after a time without any. */
     public static final double RESERVE = 20;
 
-    private double retries = RESERVE;
+    private final double share;
+    private final double reserve;
+    private double retries;
+
+    /** Creates a full budget of the default size. */
+    public RetryBudget() {
+        this(SHARE, RESERVE);
+    }
+
+    /**
+     * Creates a full budget.
+     *
+     * @param share retries allowed for each request
+     * @param reserve retries allowed at once after a time without any
+     */
+    public RetryBudget(final double share, final double reserve) {
+        this.share = share;
+        this.reserve = reserve;
+        this.retries = reserve;
+    }
 
     /** Notes a request, which earns its share of a retry. */
     public void request() {
-        retries = Math.min(RESERVE, retries + SHARE);
+        retries = Math.min(reserve, retries + share);
     }
 
     /**
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/PlanBook.java
@@ -0,0 +1,70 @@
+package org.balsambank.core.serving;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.serving.plan.ServingPlan;
+import org.balsambank.core.time.TimerService;
+
+/**
+ * The plan in force on this VM.
+ *
+ * <p>Invariant: its version only rises. Confined to the decision loop.
+ */
+public final class PlanBook {
+    private final TimerService timer;
+    private final DecisionLog log;
+    private ServingPlan plan;
+    private long revision;
+    private long learnedNanos;
+
+    /**
+     * Creates a book without a plan.
+     *
+     * @param timer gives the time
+     * @param log takes a line for each plan
+     */
+    public PlanBook(final TimerService timer, final DecisionLog log) {
+        this.timer = Objects.requireNonNull(timer);
+        this.log = Objects.requireNonNull(log);
+    }
+
+    /**
+     * Takes over a plan if it is newer.
+     *
+     * @param newer the plan
+     * @param atRevision the revision under which it was written
+     */
+    public void announced(final ServingPlan newer, final long atRevision) {
+        if (plan != null && (newer.version() <= plan.version() || atRevision <= revision)) {
+            return;
+        }
+        plan = newer;
+        revision = atRevision;
+        learnedNanos = timer.nanoTime();
+        log.line("plan_in_force")
+                .with("version", newer.version())
+                .with("revision", atRevision)
+                .write();
+    }
+
+    /**
+     * Returns the plan.
+     *
+     * @return the plan in force, if one is known
+     */
+    public Optional<ServingPlan> current() {
+        return Optional.ofNullable(plan);
+    }
+
+    /**
+     * Returns how long the plan has been known.
+     *
+     * @return the age, zero without a plan
+     */
+    public Duration age() {
+        return plan == null ? Duration.ZERO : Duration.ofNanos(timer.nanoTime() - learnedNanos);
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/ColdShare.java
@@ -0,0 +1,70 @@
+package org.balsambank.core.serving.admission;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.time.TimerService;
+
+/**
+ * Keeps what all VMs send to a target within any second to what a cold target bears.
+ *
+ * <p>Each VM uses an equal part. Sends to all targets are noted, as a target may become cold at any moment. Answers the
+ * load pattern of targets that come back together and find all VMs waiting. Confined to the decision loop.
+ */
+public final class ColdShare {
+    private static final long WINDOW_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final int MAX_NOTED = 64;
+
+    private final TimerService timer;
+    private final FleetShare fleet;
+    private final Map<TargetId, Deque<Long>> sends = new HashMap<>();
+
+    /**
+     * Creates a share of which nothing is used.
+     *
+     * @param timer gives the time
+     * @param fleet tells how many VMs share the limit
+     */
+    public ColdShare(final TimerService timer, final FleetShare fleet) {
+        this.timer = Objects.requireNonNull(timer);
+        this.fleet = Objects.requireNonNull(fleet);
+    }
+
+    /**
+     * Tells whether a cold target may get one more request from this VM.
+     *
+     * @param target the target
+     * @param perSecond what it bears from all VMs
+     * @return true if the part of this VM is not used up
+     */
+    public boolean allows(final TargetId target, final double perSecond) {
+        final int part = (int) Math.floor(perSecond / Math.max(1, fleet.vms()));
+        return recent(target).size() < part;
+    }
+
+    /**
+     * Notes a send.
+     *
+     * @param target the target
+     */
+    public void sent(final TargetId target) {
+        final Deque<Long> noted = recent(target);
+        if (noted.size() < MAX_NOTED) {
+            noted.addLast(timer.nanoTime());
+        }
+    }
+
+    private Deque<Long> recent(final TargetId target) {
+        final Deque<Long> noted = sends.computeIfAbsent(target, ignored -> new ArrayDeque<>());
+        final long now = timer.nanoTime();
+        while (!noted.isEmpty() && now - noted.peekFirst() > WINDOW_NANOS) {
+            noted.removeFirst();
+        }
+        return noted;
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -0,0 +1,182 @@
+package org.balsambank.core.serving.choice;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import net.openhft.hashing.LongHashFunction;
+import org.balsambank.core.id.FailureDomain;
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.serving.admission.ColdShare;
+import org.balsambank.core.serving.placement.AdapterKey;
+import org.balsambank.core.serving.placement.HeldAdapters;
+import org.balsambank.core.serving.placement.HoldingBook;
+import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.target.FlightBook;
+import org.balsambank.core.serving.target.PaceBook;
+import org.balsambank.core.serving.target.TargetBelief;
+import org.balsambank.core.serving.target.TargetEntry;
+import org.balsambank.core.serving.target.TargetTable;
+import org.balsambank.core.time.TimerService;
+
+/**
+ * Chooses the target with the least estimated time to the first piece.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class TargetChooser {
+    private static final double BUSY_PLACES_MILLIS = 1_500;
+    private static final double FAILURE_MILLIS = 800;
+    private static final double FULL_MILLIS = 400;
+    private static final double PLAIN_REQUEST_MILLIS = 60;
+    private static final double FAR_MILLIS = 6;
+    private static final double TOKEN_MARGIN = 0.95;
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+    private final TargetTable targets;
+    private final FlightBook flights;
+    private final HoldingBook holdings;
+    private final PaceBook paces;
+    private final ColdShare cold;
+    private final FailureDomain domain;
+    private final TimerService timer;
+    private final RandomGenerator random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param targets the targets
+     * @param flights what is under way
+     * @param holdings what targets hold
+     * @param paces how slow targets are
+     * @param cold what cold targets bear
+     * @param domain the failure domain of this VM
+     * @param timer gives the time
+     * @param random breaks ties
+     */
+    public TargetChooser(
+            final TargetTable targets,
+            final FlightBook flights,
+            final HoldingBook holdings,
+            final PaceBook paces,
+            final ColdShare cold,
+            final FailureDomain domain,
+            final TimerService timer,
+            final RandomGenerator random) {
+        this.targets = Objects.requireNonNull(targets);
+        this.flights = Objects.requireNonNull(flights);
+        this.holdings = Objects.requireNonNull(holdings);
+        this.paces = Objects.requireNonNull(paces);
+        this.cold = Objects.requireNonNull(cold);
+        this.domain = Objects.requireNonNull(domain);
+        this.timer = Objects.requireNonNull(timer);
+        this.random = Objects.requireNonNull(random);
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param wanted what the request needs
+     * @param excluded targets that have refused or failed it
+     * @return the choice, if any target can take it
+     */
+    public Optional<Choice> choose(final Wanted wanted, final Set<TargetId> excluded) {
+        final long now = timer.nanoTime();
+        final List<TargetBelief> candidates = new ArrayList<>();
+        for (final TargetBelief belief : targets.usable(wanted.service().name())) {
+            if (!excluded.contains(belief.entry().id()) && bears(wanted, belief, now)) {
+                candidates.add(belief);
+            }
+        }
+        if (wanted.service().engine().isEmpty()) {
+            return plain(candidates);
+        }
+        return engine(wanted, candidates, wanted.service().engine().get());
+    }
+
+    private boolean bears(final Wanted wanted, final TargetBelief belief, final long now) {
+        final double perSecond = wanted.service().coldPerSecond();
+        return perSecond <= 0 || !belief.cold(now) || cold.allows(belief.entry().id(), perSecond);
+    }
+
+    private Optional<Choice> plain(final List<TargetBelief> candidates) {
+        Choice best = null;
+        double least = Double.MAX_VALUE;
+        for (final TargetBelief belief : candidates) {
+            final TargetEntry target = belief.entry();
+            final FlightBook.Use use = flights.total(target.id());
+            final int slots = Math.max(1, target.slots());
+            final double read = PLAIN_REQUEST_MILLIS * Math.max(1, (use.requests() + 1.0) / slots);
+            final double cost = read * paces.pace(target.id())
+                    + FAILURE_MILLIS * paces.failures(target.id())
+                    + PLAIN_REQUEST_MILLIS * use.requests() / slots
+                    + (target.domain().equals(domain) ? 0 : FAR_MILLIS)
+                    + random.nextDouble();
+            if (cost < least) {
+                least = cost;
+                best = new Choice(target, false, cost, read);
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Optional<Choice> engine(final Wanted wanted, final List<TargetBelief> candidates, final EngineSpec spec) {
+        if (wanted.adapter().isPresent()) {
+            sortByRendezvous(candidates, wanted.adapter().get());
+        }
+        Choice best = null;
+        for (int rank = 0; rank < candidates.size(); rank++) {
+            final TargetEntry target = candidates.get(rank).entry();
+            if (wanted.model().isPresent()
+                    && !holdings.holdsModel(target, wanted.model().get())) {
+                continue;
+            }
+            final Choice choice = estimate(wanted, target, spec, rank);
+            if (best == null || choice.estimateMillis() < best.estimateMillis()) {
+                best = choice;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Choice estimate(final Wanted wanted, final TargetEntry target, final EngineSpec spec, final int rank) {
+        final FlightBook.Use use = flights.total(target.id());
+        final HeldAdapters held = holdings.of(target);
+        final long version = wanted.adapter().map(holdings::newest).orElse(0L);
+        final double load = LoadEstimate.millis(wanted.adapter(), version, held, rank);
+        final double read = FirstPieceEstimate.millis(use, wanted.promptTokens());
+        double cost = load + read * paces.pace(target.id()) + FAILURE_MILLIS * paces.failures(target.id());
+        if (load > 0 && !hasPlace(target.id(), held, spec)) {
+            cost += BUSY_PLACES_MILLIS;
+        }
+        if (use.requests() >= spec.slots()) {
+            cost += FULL_MILLIS;
+        }
+        if (wanted.promptTokens() + wanted.outputTokens() > spec.tokenCapacity() * TOKEN_MARGIN) {
+            cost += FULL_MILLIS;
+        }
+        return new Choice(target, load > 0, cost, read);
+    }
+
+    private boolean hasPlace(final TargetId target, final HeldAdapters held, final EngineSpec spec) {
+        if (held.adapters().size() + held.pending().size() < spec.adapterPlaces()) {
+            return true;
+        }
+        for (final AdapterKey each : held.adapters().keySet()) {
+            if (!flights.inUse(target, each)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void sortByRendezvous(final List<TargetBelief> candidates, final AdapterKey adapter) {
+        final long subject = HASH.hashChars(adapter.toString());
+        candidates.sort(Comparator.comparingLong(belief ->
+                HASH.hashLong(subject ^ HASH.hashChars(belief.entry().id().value()))));
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -0,0 +1,148 @@
+package org.balsambank.core.serving.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.balsambank.core.id.FailureDomain;
+import org.balsambank.core.id.VmId;
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.partition.LeaseKeeper;
+import org.balsambank.core.port.KeyValueChange;
+import org.balsambank.core.port.VmEntry;
+import org.balsambank.core.serving.admission.FleetShare;
+import org.balsambank.core.time.TimerService;
+import org.balsambank.protocol.generated.ownership.MemberRecord;
+
+/**
+ * The VMs that are registered, and when each was heard of.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class FleetMembers implements FleetShare {
+    private static final long HEARD_NANOS = Duration.ofMillis(1_500).toNanos();
+
+    private final VmId self;
+    private final TimerService timer;
+    private final DecisionLog log;
+    private final Map<String, VmEntry> byKey = new TreeMap<>();
+    private final Map<VmId, Long> heardNanos = new HashMap<>();
+
+    /**
+     * Creates a list of this VM alone.
+     *
+     * @param self this VM
+     * @param timer gives the time
+     * @param log takes a line for each change
+     */
+    public FleetMembers(final VmId self, final TimerService timer, final DecisionLog log) {
+        this.self = Objects.requireNonNull(self);
+        this.timer = Objects.requireNonNull(timer);
+        this.log = Objects.requireNonNull(log);
+    }
+
+    /**
+     * Tells whether a key is that of a member.
+     *
+     * @param key the key
+     * @return true if so
+     */
+    public static boolean isMember(final String key) {
+        return key.startsWith(LeaseKeeper.PREFIX);
+    }
+
+    /**
+     * A registration has changed.
+     *
+     * @param change the change of a key of a member
+     */
+    public void changed(final KeyValueChange change) {
+        final VmEntry before = byKey.remove(change.key());
+        if (change.value().isEmpty()) {
+            if (before != null) {
+                log.line("vm_gone").with("vm", before.id().value()).write();
+            }
+            return;
+        }
+        try {
+            final MemberRecord member = MemberRecord.parseFrom(change.value().get());
+            final VmId vm = new VmId(member.getMember().getVm());
+            final VmEntry entry = new VmEntry(
+                    vm,
+                    new FailureDomain(member.getFailureDomain()),
+                    member.getHost(),
+                    member.getPeerPort(),
+                    member.getStopping());
+            byKey.put(change.key(), entry);
+            log.line("vm_registered").with("vm", vm.value()).write();
+        } catch (final InvalidProtocolBufferException | IllegalArgumentException e) {
+            log.line("vm_unreadable").with("key", change.key()).write();
+        }
+    }
+
+    /**
+     * Another VM has told something.
+     *
+     * @param vm the other VM
+     */
+    public void heardFrom(final VmId vm) {
+        heardNanos.put(vm, timer.nanoTime());
+    }
+
+    /**
+     * Tells whether another VM was heard of lately.
+     *
+     * @param vm the other VM
+     * @return true if so
+     */
+    public boolean recent(final VmId vm) {
+        final Long at = heardNanos.get(vm);
+        return at != null && timer.nanoTime() - at < HEARD_NANOS;
+    }
+
+    /**
+     * Returns the other VMs.
+     *
+     * @return one entry for each
+     */
+    public Collection<VmEntry> others() {
+        final Map<VmId, VmEntry> others = new TreeMap<>();
+        byKey.values().forEach(each -> others.put(each.id(), each));
+        others.remove(self);
+        return others.values();
+    }
+
+    /**
+     * Returns all registered VMs, this one included.
+     *
+     * @return the VMs
+     */
+    public List<VmId> all() {
+        final List<VmId> all = new ArrayList<>();
+        others().forEach(each -> all.add(each.id()));
+        all.add(self);
+        return all;
+    }
+
+    @Override
+    public int vms() {
+        return others().size() + 1;
+    }
+
+    @Override
+    public int heard() {
+        int count = 1;
+        for (final VmEntry each : others()) {
+            if (recent(each.id())) {
+                count++;
+            }
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMethods.java
@@ -0,0 +1,28 @@
+package org.balsambank.core.serving.fleet;
+
+import org.balsambank.core.port.PeerMethod;
+import org.balsambank.protocol.generated.serving.Digest;
+import org.balsambank.protocol.generated.serving.DigestAnswer;
+import org.balsambank.protocol.generated.serving.EntriesAnswer;
+import org.balsambank.protocol.generated.serving.EntriesAsk;
+import org.balsambank.protocol.generated.serving.HoldAnswer;
+import org.balsambank.protocol.generated.serving.HoldAsk;
+
+/**
+ * The calls between VMs that serve.
+ *
+ * <p>Immutable and thread-safe.
+ */
+public final class FleetMethods {
+    /** Tells what a VM has under way, has admitted and has loaded. */
+    public static final PeerMethod<Digest, DigestAnswer> DIGEST =
+            new PeerMethod<>(70, "serving-digest", Digest.parser(), DigestAnswer.parser());
+    /** Asks for an adapter at a target. */
+    public static final PeerMethod<HoldAsk, HoldAnswer> HOLD =
+            new PeerMethod<>(71, "serving-hold", HoldAsk.parser(), HoldAnswer.parser());
+    /** Asks for entries of the key-value service. */
+    public static final PeerMethod<EntriesAsk, EntriesAnswer> ENTRIES =
+            new PeerMethod<>(72, "serving-entries", EntriesAsk.parser(), EntriesAnswer.parser());
+
+    private FleetMethods() {}
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PeerEntries.java
@@ -0,0 +1,86 @@
+package org.balsambank.core.serving.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.port.KeyValueChange;
+import org.balsambank.core.port.PeerException;
+import org.balsambank.core.port.PeerLink;
+import org.balsambank.core.port.VmEntry;
+import org.balsambank.core.serving.replica.EntryReplica;
+import org.balsambank.core.serving.replica.EntrySource;
+import org.balsambank.protocol.generated.serving.EntriesAnswer;
+import org.balsambank.protocol.generated.serving.EntriesAsk;
+import org.balsambank.protocol.generated.serving.Entry;
+
+/**
+ * Passes entries of the key-value service between VMs, for those that can't read it.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class PeerEntries implements EntrySource {
+    private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+    private final PeerLink peers;
+    private final FleetMembers members;
+    private final EntryReplica replica;
+    private final RandomGenerator random;
+
+    /**
+     * Creates the exchange and answers the other VMs.
+     *
+     * @param peers the links to the other VMs
+     * @param members the other VMs
+     * @param replica the entries that this VM knows
+     * @param random chooses whom to ask
+     */
+    public PeerEntries(
+            final PeerLink peers,
+            final FleetMembers members,
+            final EntryReplica replica,
+            final RandomGenerator random) {
+        this.peers = Objects.requireNonNull(peers);
+        this.members = Objects.requireNonNull(members);
+        this.replica = Objects.requireNonNull(replica);
+        this.random = Objects.requireNonNull(random);
+        peers.serve(FleetMethods.ENTRIES, (from, ask) -> Flowable.fromCallable(() -> answer(ask)));
+    }
+
+    @Override
+    public Single<List<KeyValueChange>> changesAfter(final long after) {
+        return Single.defer(() -> {
+            final List<VmEntry> others = new ArrayList<>(members.others());
+            if (others.isEmpty()) {
+                return Single.error(new PeerException(PeerException.Reason.NOT_SENT, "no other VM is known"));
+            }
+            final VmEntry chosen = others.get(random.nextInt(others.size()));
+            final EntriesAsk ask = EntriesAsk.newBuilder().setAfter(after).build();
+            return peers.call(chosen.id(), FleetMethods.ENTRIES, ask, TIMEOUT).map(PeerEntries::changes);
+        });
+    }
+
+    private EntriesAnswer answer(final EntriesAsk ask) {
+        final EntriesAnswer.Builder answer = EntriesAnswer.newBuilder().setRevision(replica.revision());
+        for (final KeyValueChange change : replica.changesAfter(ask.getAfter())) {
+            final Entry.Builder entry = Entry.newBuilder().setKey(change.key()).setRevision(change.revision());
+            change.value().ifPresentOrElse(entry::setValue, () -> entry.setDeleted(true));
+            answer.addEntries(entry);
+        }
+        return answer.build();
+    }
+
+    private static List<KeyValueChange> changes(final EntriesAnswer answer) {
+        return answer.getEntriesList().stream()
+                .map(entry -> new KeyValueChange(
+                        entry.getKey(),
+                        entry.getDeleted() ? Optional.empty() : Optional.of(entry.getValue()),
+                        entry.getRevision()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterKey.java
@@ -0,0 +1,42 @@
+package org.balsambank.core.serving.placement;
+
+import java.util.Objects;
+
+import org.balsambank.core.id.AdapterId;
+import org.balsambank.core.id.BaseModel;
+
+/**
+ * Names an adapter of a base model.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param model the base model
+ * @param adapter the adapter
+ */
+public record AdapterKey(BaseModel model, AdapterId adapter) {
+    /** Checks that both are there. */
+    public AdapterKey {
+        Objects.requireNonNull(model);
+        Objects.requireNonNull(adapter);
+    }
+
+    /**
+     * Reads the form of {@link #toString()}.
+     *
+     * @param text the model, a slash and the adapter
+     * @return the name
+     * @throws IllegalArgumentException if a part is missing
+     */
+    public static AdapterKey parse(final String text) {
+        final int slash = text.indexOf('/');
+        if (slash < 0) {
+            throw new IllegalArgumentException("no adapter in " + text);
+        }
+        return new AdapterKey(new BaseModel(text.substring(0, slash)), new AdapterId(text.substring(slash + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return model.value() + "/" + adapter.value();
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
@@ -0,0 +1,108 @@
+package org.balsambank.core.serving.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.balsambank.core.id.BaseModel;
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.serving.target.TargetEntry;
+
+/**
+ * What each target holds: the word of the VM that gives it orders, else its own announcement.
+ *
+ * <p>Invariants: what a lower fencing number told never replaces what a higher one told; versions that are announced
+ * only rise. Confined to the decision loop.
+ */
+public final class HoldingBook {
+    private final Map<TargetId, HeldAdapters> held = new HashMap<>();
+    private final Map<AdapterKey, Long> newest = new HashMap<>();
+
+    /** Creates an empty book. */
+    public HoldingBook() {}
+
+    /**
+     * The VM that gives orders to a target tells what it holds.
+     *
+     * @param target the target
+     * @param adapters what it holds
+     */
+    public void told(final TargetId target, final HeldAdapters adapters) {
+        final HeldAdapters known = held.get(target);
+        if (known == null || known.fence() <= adapters.fence()) {
+            held.put(target, adapters);
+        }
+    }
+
+    /**
+     * A target has just said that it does not hold an adapter.
+     *
+     * @param entry the announcement of the target
+     * @param adapter the adapter
+     */
+    public void missing(final TargetEntry entry, final AdapterKey adapter) {
+        final HeldAdapters known = of(entry);
+        final Map<AdapterKey, Long> rest = new HashMap<>(known.adapters());
+        rest.remove(adapter);
+        held.put(entry.id(), new HeldAdapters(known.fence(), rest, known.pending(), known.models()));
+    }
+
+    /**
+     * Forgets a target that has started again or is gone.
+     *
+     * @param target the target
+     */
+    public void forget(final TargetId target) {
+        held.remove(target);
+    }
+
+    /**
+     * Returns what a target holds.
+     *
+     * @param entry the announcement of the target
+     * @return what it holds
+     */
+    public HeldAdapters of(final TargetEntry entry) {
+        final HeldAdapters known = held.get(entry.id());
+        return known == null ? announced(entry) : known;
+    }
+
+    /**
+     * Tells whether a target holds a base model.
+     *
+     * @param entry the announcement of the target
+     * @param model the model
+     * @return true if so
+     */
+    public boolean holdsModel(final TargetEntry entry, final BaseModel model) {
+        final HeldAdapters known = held.get(entry.id());
+        if (known != null && !known.models().isEmpty()) {
+            return known.models().contains(model);
+        }
+        return entry.models().contains(model);
+    }
+
+    /**
+     * Notes a version that was announced.
+     *
+     * @param adapter the adapter
+     * @param version the version
+     */
+    public void announced(final AdapterKey adapter, final long version) {
+        newest.merge(adapter, version, Math::max);
+    }
+
+    /**
+     * Returns the newest version that was announced.
+     *
+     * @param adapter the adapter
+     * @return the version, or 0 if none was announced
+     */
+    public long newest(final AdapterKey adapter) {
+        return newest.getOrDefault(adapter, 0L);
+    }
+
+    private static HeldAdapters announced(final TargetEntry entry) {
+        return new HeldAdapters(0, entry.adapters(), Set.of(), Set.copyOf(entry.models()));
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
@@ -0,0 +1,250 @@
+package org.balsambank.core.serving.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.id.AdapterId;
+import org.balsambank.core.id.BaseModel;
+import org.balsambank.core.id.ServiceName;
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.id.VmId;
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.port.PeerLink;
+import org.balsambank.core.serving.fleet.FleetMethods;
+import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.target.FlightBook;
+import org.balsambank.core.serving.target.TargetBelief;
+import org.balsambank.core.serving.target.TargetEntry;
+import org.balsambank.core.serving.target.TargetTable;
+import org.balsambank.core.supervise.Part;
+import org.balsambank.core.time.TimerService;
+import org.balsambank.protocol.generated.serving.HoldAnswer;
+import org.balsambank.protocol.generated.serving.HoldAsk;
+
+/**
+ * Keeps the targets that this VM has claimed, and passes wishes for adapters to the VMs that have claimed the others.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class Placement implements Part {
+    private static final Duration STEP = Duration.ofMillis(25);
+    private static final int CLAIM_STEPS = 8;
+    private static final Duration MARGIN = Duration.ofMillis(100);
+
+    private final VmId self;
+    private final TargetTable targets;
+    private final TargetClaims claims;
+    private final Function<ServiceName, Optional<EngineSpec>> engines;
+    private final java.util.function.Supplier<List<VmId>> vms;
+    private final TargetOrders orders;
+    private final FlightBook flights;
+    private final HoldingBook holdings;
+    private final PeerLink peers;
+    private final TimerService timer;
+    private final DecisionLog log;
+    private final Map<TargetId, TargetKeeper> keepers = new HashMap<>();
+    private boolean stopped;
+
+    /**
+     * Creates a placement and answers the other VMs.
+     *
+     * @param self this VM
+     * @param targets the targets
+     * @param claims who gives orders to which target
+     * @param engines what the targets of a service bear, if they run models
+     * @param vms the registered VMs
+     * @param orders speaks to targets
+     * @param flights what is under way
+     * @param holdings what targets hold
+     * @param peers the links to the other VMs
+     * @param timer gives the time
+     * @param log takes a line for each order
+     */
+    public Placement(
+            final VmId self,
+            final TargetTable targets,
+            final TargetClaims claims,
+            final Function<ServiceName, Optional<EngineSpec>> engines,
+            final java.util.function.Supplier<List<VmId>> vms,
+            final TargetOrders orders,
+            final FlightBook flights,
+            final HoldingBook holdings,
+            final PeerLink peers,
+            final TimerService timer,
+            final DecisionLog log) {
+        this.self = Objects.requireNonNull(self);
+        this.targets = Objects.requireNonNull(targets);
+        this.claims = Objects.requireNonNull(claims);
+        this.engines = Objects.requireNonNull(engines);
+        this.vms = Objects.requireNonNull(vms);
+        this.orders = Objects.requireNonNull(orders);
+        this.flights = Objects.requireNonNull(flights);
+        this.holdings = Objects.requireNonNull(holdings);
+        this.peers = Objects.requireNonNull(peers);
+        this.timer = Objects.requireNonNull(timer);
+        this.log = Objects.requireNonNull(log);
+        peers.serve(FleetMethods.HOLD, (from, ask) -> answer(ask).toFlowable());
+    }
+
+    @Override
+    public String name() {
+        return "placement";
+    }
+
+    @Override
+    public Completable run() {
+        return timer.every(STEP).doOnNext(this::step).ignoreElements();
+    }
+
+    /** Gives no more orders, as this VM stops. */
+    public void stop() {
+        stopped = true;
+        keepers.values().forEach(TargetKeeper::close);
+        keepers.clear();
+    }
+
+    /**
+     * Wishes an adapter at a target, whoever gives orders there.
+     *
+     * @param target the target
+     * @param adapter the adapter
+     * @param version the least version, 0 for any
+     * @param missing whether the target has just said that it does not hold it
+     * @param wait how long the wish lasts
+     * @return whether the target holds it; never fails
+     */
+    public Single<Hold> ensure(
+            final TargetEntry target,
+            final AdapterKey adapter,
+            final long version,
+            final boolean missing,
+            final Duration wait) {
+        final Optional<VmId> holder = claims.holder(target.id());
+        if (holder.isEmpty()) {
+            return Single.just(Hold.refused("nobody gives orders there"));
+        }
+        if (holder.get().equals(self)) {
+            return own(target.id(), adapter, version, missing, wait);
+        }
+        final HoldAsk ask = HoldAsk.newBuilder()
+                .setTarget(target.id().value())
+                .setModel(adapter.model().value())
+                .setAdapter(adapter.adapter().value())
+                .setVersion(version)
+                .setMissing(missing)
+                .setWaitMillis((int) wait.toMillis())
+                .build();
+        return peers.call(holder.get(), FleetMethods.HOLD, ask, wait.plus(MARGIN))
+                .map(answer -> new Hold(answer.getHeld(), answer.getVersion(), answer.getReason()))
+                .onErrorReturn(error -> Hold.refused(holder.get() + ": " + error.getMessage()));
+    }
+
+    /**
+     * Returns what the targets hold to which this VM gives orders.
+     *
+     * @return what each holds
+     */
+    public Map<TargetId, HeldAdapters> held() {
+        final Map<TargetId, HeldAdapters> held = new HashMap<>();
+        keepers.forEach((id, keeper) -> held.put(id, holdings.of(keeper.target())));
+        return held;
+    }
+
+    /**
+     * Returns those whose holding has changed since the last call.
+     *
+     * @return what each holds
+     */
+    public Map<TargetId, HeldAdapters> takeChanged() {
+        final Map<TargetId, HeldAdapters> changed = new HashMap<>();
+        keepers.forEach((id, keeper) -> {
+            if (keeper.takeChanged()) {
+                changed.put(id, holdings.of(keeper.target()));
+            }
+        });
+        return changed;
+    }
+
+    private Single<Hold> own(
+            final TargetId target,
+            final AdapterKey adapter,
+            final long version,
+            final boolean missing,
+            final Duration wait) {
+        final TargetKeeper keeper = keepers.get(target);
+        if (keeper == null) {
+            return Single.just(Hold.refused("no right to give orders"));
+        }
+        return keeper.ensure(adapter, version, missing, wait);
+    }
+
+    private Single<HoldAnswer> answer(final HoldAsk ask) {
+        final AdapterKey adapter = new AdapterKey(new BaseModel(ask.getModel()), new AdapterId(ask.getAdapter()));
+        final Duration wait = Duration.ofMillis(ask.getWaitMillis());
+        return own(new TargetId(ask.getTarget()), adapter, ask.getVersion(), ask.getMissing(), wait)
+                .map(hold -> HoldAnswer.newBuilder()
+                        .setHeld(hold.held())
+                        .setVersion(hold.version())
+                        .setReason(hold.reason())
+                        .build());
+    }
+
+    private void step(final long tick) {
+        if (stopped) {
+            return;
+        }
+        if (tick % CLAIM_STEPS == 0) {
+            claims.claim(needOrders(), vms.get());
+        }
+        drop();
+        for (final TargetId id : needOrders()) {
+            claims.right(id).ifPresent(right -> keeper(id, right));
+        }
+        List.copyOf(keepers.values()).forEach(TargetKeeper::step);
+    }
+
+    private List<TargetId> needOrders() {
+        final List<TargetId> ids = new ArrayList<>();
+        for (final TargetBelief belief : targets.all()) {
+            if (belief.usable(timer.nanoTime()) && engine(belief.entry()).isPresent()) {
+                ids.add(belief.entry().id());
+            }
+        }
+        return ids;
+    }
+
+    private Optional<EngineSpec> engine(final TargetEntry entry) {
+        return engines.apply(entry.service());
+    }
+
+    private void keeper(final TargetId id, final OrderRight right) {
+        if (keepers.containsKey(id)) {
+            return;
+        }
+        final TargetEntry entry = targets.find(id).orElseThrow().entry();
+        keepers.put(id, new TargetKeeper(entry, right, () -> engine(entry), orders, flights, holdings, timer, log));
+    }
+
+    private void drop() {
+        keepers.entrySet().removeIf(each -> {
+            final TargetKeeper keeper = each.getValue();
+            final Optional<TargetBelief> belief = targets.find(each.getKey());
+            final boolean same = belief.isPresent()
+                    && belief.get().usable(timer.nanoTime())
+                    && belief.get().entry().bornMillis() == keeper.target().bornMillis();
+            if (same && keeper.right().valid()) {
+                return false;
+            }
+            keeper.close();
+            return true;
+        });
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which target holds which adapter, and the one VM that gives it orders. */
+package org.balsambank.core.serving.placement;
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/plan/package-info.java
@@ -0,0 +1,2 @@
+/** What the operator asks for: routes, services, teams and limits. */
+package org.balsambank.core.serving.plan;
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -0,0 +1,484 @@
+package org.balsambank.core.serving.request;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import org.balsambank.core.error.ErrorKind;
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.serving.choice.Choice;
+import org.balsambank.core.serving.choice.Wanted;
+import org.balsambank.core.serving.placement.AdapterKey;
+import org.balsambank.core.serving.placement.Hold;
+import org.balsambank.core.serving.plan.Route;
+import org.balsambank.core.serving.plan.RunRule;
+import org.balsambank.core.serving.plan.ServiceSpec;
+import org.balsambank.core.serving.plan.ServingPlan;
+import org.balsambank.core.serving.plan.TeamSpec;
+import org.balsambank.core.serving.target.FlightBook;
+import org.balsambank.core.serving.target.TargetEntry;
+
+/**
+ * One request from its arrival to its final answer: route, key, rate, target, adapter, sends.
+ *
+ * <p>Invariants: the caller gets one final answer; a request that may run once is not sent again after a byte of it may
+ * have reached a target, unless that target says that it has not run; nothing is sent after the deadline, to a target
+ * that may get nothing, or for a key that is withdrawn. Confined to the decision loop.
+ */
+public final class RequestRun {
+    private static final int MAX_SENDS = 4;
+    private static final int MAX_CHOICES = 6;
+    private static final int NOT_FOUND_HERE = 421;
+    private static final long EARLY_NANOS = Duration.ofMillis(15).toNanos();
+    private static final double HOPELESS_OBJECTIVES = 3.6;
+    private static final double DEADLINE_PART = 0.9;
+    private static final Duration LOAD_WAIT = Duration.ofMillis(1_500);
+    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
+
+    private final RunParts parts;
+    private final CallFacts call;
+    private final CallerSide caller;
+    private final TargetSender sender;
+    private final Set<TargetId> excluded = new HashSet<>();
+    private ServingPlan plan;
+    private Route route;
+    private Optional<TeamSpec> team = Optional.empty();
+    private ServiceSpec service;
+    private double units;
+    private boolean charged;
+    private long deadlineNanos;
+    private Disposable deadline = Disposable.disposed();
+    private Disposable holding = Disposable.disposed();
+    private TargetSender.Send send;
+    private FlightBook.Flight flight;
+    private Choice choice;
+    private long sentNanos;
+    private int sends;
+    private int runs;
+    private int choices;
+    private boolean mayHaveRun;
+    private boolean answering;
+    private boolean ended;
+    private Optional<AdapterKey> missing = Optional.empty();
+
+    /**
+     * Creates a request that has not begun.
+     *
+     * @param parts what its steps consult
+     * @param call what the caller has sent
+     * @param caller takes the answer
+     * @param sender sends the request to targets
+     */
+    public RequestRun(final RunParts parts, final CallFacts call, final CallerSide caller, final TargetSender sender) {
+        this.parts = Objects.requireNonNull(parts);
+        this.call = Objects.requireNonNull(call);
+        this.caller = Objects.requireNonNull(caller);
+        this.sender = Objects.requireNonNull(sender);
+    }
+
+    /** Begins. */
+    public void start() {
+        final Optional<ErrorKind> refusal = resolve();
+        if (refusal.isPresent()) {
+            refuse(refusal.get(), Optional.empty(), "");
+            return;
+        }
+        final long now = parts.timer().nanoTime();
+        final long asked = call.deadlineMillis() > 0 ? call.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
+        final long bound = route.timeoutMillis() > 0 ? Math.min(asked, route.timeoutMillis()) : asked;
+        deadlineNanos = call.arrivedNanos() + Duration.ofMillis(bound).toNanos() - EARLY_NANOS;
+        if (parts.losses().poison(call.fingerprint())) {
+            refuse(ErrorKind.POISON_REQUEST, Optional.empty(), "has cost several targets");
+            return;
+        }
+        if (!charge()) {
+            return;
+        }
+        parts.retries().request(service.name());
+        deadline = parts.timer()
+                .after(Duration.ofNanos(Math.max(0, deadlineNanos - now)))
+                .subscribe(this::expired);
+        next();
+    }
+
+    /** The caller has left: nothing more is done for it. */
+    public void callerGone() {
+        if (ended) {
+            return;
+        }
+        stopSend();
+        finish("caller_gone", "");
+    }
+
+    private Optional<ErrorKind> resolve() {
+        final Optional<ServingPlan> current = parts.plans().current();
+        if (current.isEmpty()) {
+            return Optional.of(ErrorKind.ISOLATED);
+        }
+        plan = current.get();
+        final Optional<Route> found = plan.route(call.host(), call.path());
+        if (found.isEmpty()) {
+            return Optional.of(ErrorKind.UNKNOWN_ROUTE);
+        }
+        route = found.get();
+        team = call.key().flatMap(plan::teamOf);
+        if (team.isEmpty() && plan.needsKeys() && !route.open()) {
+            return Optional.of(ErrorKind.UNAUTHENTICATED);
+        }
+        final Optional<ServiceSpec> spec =
+                plan.service(route.service(parts.random().nextDouble()));
+        if (spec.isEmpty()) {
+            return Optional.of(ErrorKind.NO_TARGET);
+        }
+        service = spec.get();
+        return Optional.empty();
+    }
+
+    private boolean charge() {
+        if (team.isEmpty()) {
+            return true;
+        }
+        final TeamSpec payer = team.get();
+        units = call.tokensTold() ? call.promptTokens() + call.outputTokens() : payer.plainUnits();
+        final Optional<Duration> wait = parts.buckets().admit(payer, units);
+        if (wait.isPresent()) {
+            refuse(ErrorKind.RATE_EXCEEDED, wait, "units " + Math.round(units));
+            return false;
+        }
+        charged = true;
+        return true;
+    }
+
+    private void next() {
+        if (ended) {
+            return;
+        }
+        if (!stillAllowed()) {
+            return;
+        }
+        if (sends >= MAX_SENDS || ++choices > MAX_CHOICES) {
+            giveUp("tries used up");
+            return;
+        }
+        final Wanted wanted =
+                new Wanted(service, call.model(), call.adapter(), call.promptTokens(), call.outputTokens());
+        final Optional<Choice> chosen = parts.chooser().choose(wanted, excluded);
+        if (chosen.isEmpty()) {
+            giveUp("no target");
+            return;
+        }
+        choice = chosen.get();
+        if (hopeless(choice.estimateMillis())) {
+            refuse(
+                    ErrorKind.OVERLOADED,
+                    Optional.of(
+                            ReturnTime.after(choice.estimateMillis() - route.targetLatencyMillis(), parts.random())),
+                    "estimate " + Math.round(choice.estimateMillis()) + " ms");
+            return;
+        }
+        if (choice.needsLoad() || missing.isPresent()) {
+            load();
+            return;
+        }
+        send(OptionalLong.empty());
+    }
+
+    private boolean stillAllowed() {
+        final Optional<ServingPlan> current = parts.plans().current();
+        if (current.isEmpty() || current.get() == plan) {
+            return true;
+        }
+        final Optional<ErrorKind> refusal = resolve();
+        refusal.ifPresent(kind -> refuse(kind, Optional.empty(), "the plan has changed"));
+        return refusal.isEmpty();
+    }
+
+    private boolean hopeless(final double estimateMillis) {
+        final double left =
+                Duration.ofNanos(deadlineNanos - parts.timer().nanoTime()).toMillis() * DEADLINE_PART;
+        if (route.rule() != RunRule.STREAM || route.targetLatencyMillis() <= 0) {
+            return estimateMillis > left;
+        }
+        return estimateMillis > Math.min(left, HOPELESS_OBJECTIVES * route.targetLatencyMillis());
+    }
+
+    private void load() {
+        final AdapterKey adapter = call.adapter().orElseThrow();
+        final TargetEntry target = choice.target();
+        final boolean wasMissing = missing.isPresent();
+        missing = Optional.empty();
+        final Duration left =
+                Duration.ofNanos(Math.max(0, deadlineNanos - parts.timer().nanoTime()));
+        final Duration wait = left.compareTo(LOAD_WAIT) < 0 ? left : LOAD_WAIT;
+        final long version = parts.holdings().newest(adapter);
+        final long sinceNanos = parts.timer().nanoTime();
+        holding = parts.placement()
+                .ensure(target, adapter, version, wasMissing, wait)
+                .subscribe(hold -> loaded(hold, adapter, sinceNanos));
+    }
+
+    private void loaded(final Hold hold, final AdapterKey adapter, final long sinceNanos) {
+        if (ended) {
+            return;
+        }
+        line("adapter_wait")
+                .with("target", choice.target().id().value())
+                .with("adapter", adapter.toString())
+                .with("held", String.valueOf(hold.held()))
+                .with("reason", hold.reason())
+                .with("waited_ms", millisSince(sinceNanos))
+                .write();
+        if (!hold.held() || !parts.targets().usable(choice.target().id())) {
+            excluded.add(choice.target().id());
+            next();
+            return;
+        }
+        if (!stillAllowed()) {
+            return;
+        }
+        send(hold.version() > 0 ? OptionalLong.of(hold.version()) : OptionalLong.empty());
+    }
+
+    private void send(final OptionalLong loadedVersion) {
+        final TargetEntry target = choice.target();
+        final long now = parts.timer().nanoTime();
+        final long remaining = Duration.ofNanos(deadlineNanos - now).toMillis();
+        if (remaining <= 0) {
+            expired();
+            return;
+        }
+        sends++;
+        mayHaveRun = true;
+        sentNanos = now;
+        parts.cold().sent(target.id());
+        flight = parts.flights().begin(target.id(), call.promptTokens(), call.adapter());
+        final Outgoing outgoing = new Outgoing(
+                target,
+                service.maxConnections(),
+                team.map(TeamSpec::id),
+                remaining,
+                expectedVersion(target, loadedVersion),
+                route.rule() != RunRule.STREAM);
+        line("sent")
+                .with("target", target.id().value())
+                .with("attempt", sends)
+                .with("estimate_ms", Math.round(choice.estimateMillis()))
+                .with("plan_version", plan.version())
+                .with("plan_age_ms", parts.plans().age().toMillis())
+                .with("remaining_ms", remaining)
+                .write();
+        send = sender.send(outgoing, new Attempt());
+    }
+
+    private OptionalLong expectedVersion(final TargetEntry target, final OptionalLong loadedVersion) {
+        if (call.adapter().isEmpty() || parts.holdings().newest(call.adapter().get()) == 0) {
+            return OptionalLong.empty();
+        }
+        if (loadedVersion.isPresent()) {
+            return loadedVersion;
+        }
+        return parts.holdings().of(target).version(call.adapter().get());
+    }
+
+    private void expired() {
+        if (ended) {
+            return;
+        }
+        stopSend();
+        if (answering) {
+            caller.breakOff();
+            finish("deadline_in_answer", "");
+            return;
+        }
+        refuse(mayHaveRun ? ErrorKind.DEADLINE_DURING_RUN : ErrorKind.DEADLINE_BEFORE_RUN, Optional.empty(), "");
+    }
+
+    private void giveUp(final String why) {
+        final double expected = choice == null ? route.targetLatencyMillis() : choice.readMillis();
+        refuse(ErrorKind.NO_TARGET, Optional.of(ReturnTime.after(expected, parts.random())), why);
+    }
+
+    private void refuse(final ErrorKind kind, final Optional<Duration> retryAfter, final String why) {
+        if (charged && !mayHaveRun) {
+            parts.buckets().giveBack(team.orElseThrow(), units);
+        }
+        caller.refuse(kind, retryAfter);
+        finish(kind.code(), why);
+    }
+
+    private void finish(final String outcome, final String why) {
+        ended = true;
+        deadline.dispose();
+        holding.dispose();
+        parts.meters().outcome(outcome);
+        line("ended")
+                .with("outcome", outcome)
+                .with("why", why)
+                .with("route", route == null ? "" : route.name())
+                .with("team", team.map(each -> each.id().value()).orElse(""))
+                .with("sends", sends)
+                .with("plan_version", plan == null ? 0 : plan.version())
+                .with("took_ms", millisSince(call.arrivedNanos()))
+                .write();
+    }
+
+    private void stopSend() {
+        if (send != null) {
+            send.cancel();
+            send = null;
+        }
+        if (flight != null) {
+            flight.end();
+            flight = null;
+        }
+    }
+
+    private long millisSince(final long nanos) {
+        return Duration.ofNanos(parts.timer().nanoTime() - nanos).toMillis();
+    }
+
+    private DecisionLog.Line line(final String event) {
+        return parts.log().line(event).with("request", call.id().value());
+    }
+
+    /** What becomes of one send. */
+    private final class Attempt implements AttemptListener {
+        private AnswerHead head;
+        private boolean forwarded;
+
+        @Override
+        public boolean head(final AnswerHead received) {
+            head = received;
+            forwarded = !notRun(received) && !bad(received) && !repeat(received);
+            if (!notRun(received)) {
+                runs++;
+            }
+            if (forwarded) {
+                answering = true;
+            }
+            return forwarded;
+        }
+
+        @Override
+        public void firstPiece() {
+            flight.firstPiece();
+            if (head == null || !head.success()) {
+                return;
+            }
+            final double actual = (parts.timer().nanoTime() - sentNanos) / 1e6;
+            parts.paces().firstPiece(choice.target().id(), choice.readMillis(), actual);
+            parts.meters().firstPiece(service.name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
+        }
+
+        @Override
+        public void ended(final AttemptEnd end) {
+            send = null;
+            flight.end();
+            flight = null;
+            final TargetEntry target = choice.target();
+            line("send_ended")
+                    .with("target", target.id().value())
+                    .with("end", end.name())
+                    .with("status", head == null ? 0 : head.status())
+                    .with("not_run", String.valueOf(head != null && notRun(head)))
+                    .with("took_ms", millisSince(sentNanos))
+                    .write();
+            switch (end) {
+                case COMPLETE -> complete(target);
+                case NOT_SENT -> notSent(target);
+                case LOST -> lost(target);
+                default -> broken(target);
+            }
+        }
+
+        private boolean notRun(final AnswerHead received) {
+            return received.notRun() || received.status() == NOT_FOUND_HERE;
+        }
+
+        private boolean bad(final AnswerHead received) {
+            return received.encoded() || received.success() && !received.sealed();
+        }
+
+        private boolean repeat(final AnswerHead received) {
+            return route.rule() == RunRule.SAFE
+                    && received.serverError()
+                    && runs + 1 < route.maxAttempts()
+                    && sends < MAX_SENDS
+                    && parts.retries().take(service.name());
+        }
+
+        private void complete(final TargetEntry target) {
+            if (forwarded) {
+                parts.paces().ended(target.id(), head.serverError());
+                finish("answered_" + head.status(), "");
+                return;
+            }
+            if (notRun(head)) {
+                refused(target);
+                return;
+            }
+            parts.paces().ended(target.id(), true);
+            if (bad(head)) {
+                unknown(target);
+                return;
+            }
+            excluded.add(target.id());
+            next();
+        }
+
+        private void refused(final TargetEntry target) {
+            mayHaveRun = runs > 0;
+            if (head.status() == NOT_FOUND_HERE && call.adapter().isPresent()) {
+                parts.holdings().missing(target, call.adapter().get());
+                missing = call.adapter();
+            } else {
+                excluded.add(target.id());
+                parts.paces().ended(target.id(), true);
+            }
+            if (parts.retries().take(service.name())) {
+                next();
+            } else {
+                giveUp("retries used up");
+            }
+        }
+
+        private void notSent(final TargetEntry target) {
+            mayHaveRun = runs > 0;
+            excluded.add(target.id());
+            parts.paces().ended(target.id(), true);
+            next();
+        }
+
+        private void lost(final TargetEntry target) {
+            runs++;
+            parts.paces().ended(target.id(), true);
+            parts.losses().lost(call.fingerprint(), target);
+            unknown(target);
+        }
+
+        private void unknown(final TargetEntry target) {
+            excluded.add(target.id());
+            final boolean again = route.rule() == RunRule.SAFE
+                    && runs < route.maxAttempts()
+                    && !parts.losses().poison(call.fingerprint())
+                    && parts.retries().take(service.name());
+            if (again) {
+                next();
+            } else {
+                refuse(ErrorKind.TARGET_LOST, Optional.empty(), "the answer was lost");
+            }
+        }
+
+        private void broken(final TargetEntry target) {
+            parts.paces().ended(target.id(), true);
+            parts.losses().lost(call.fingerprint(), target);
+            caller.breakOff();
+            finish("answer_broken", "");
+        }
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RunParts.java
@@ -0,0 +1,52 @@
+package org.balsambank.core.serving.request;
+
+import java.util.random.RandomGenerator;
+
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.serving.PlanBook;
+import org.balsambank.core.serving.admission.ColdShare;
+import org.balsambank.core.serving.admission.TeamBuckets;
+import org.balsambank.core.serving.choice.TargetChooser;
+import org.balsambank.core.serving.fleet.LossBook;
+import org.balsambank.core.serving.placement.HoldingBook;
+import org.balsambank.core.serving.placement.Placement;
+import org.balsambank.core.serving.target.FlightBook;
+import org.balsambank.core.serving.target.PaceBook;
+import org.balsambank.core.serving.target.TargetTable;
+import org.balsambank.core.time.TimerService;
+
+/**
+ * What the steps of a request consult.
+ *
+ * @param plans the plan in force
+ * @param targets the targets
+ * @param chooser chooses targets
+ * @param placement gets adapters to targets
+ * @param holdings what targets hold
+ * @param flights what is under way
+ * @param paces how slow targets are
+ * @param buckets the rates of teams
+ * @param retries the retries of services
+ * @param cold what cold targets bear
+ * @param losses requests that have cost targets
+ * @param timer gives the time
+ * @param random spreads callers that come back
+ * @param log takes a line for each decision
+ * @param meters counts outcomes
+ */
+public record RunParts(
+        PlanBook plans,
+        TargetTable targets,
+        TargetChooser chooser,
+        Placement placement,
+        HoldingBook holdings,
+        FlightBook flights,
+        PaceBook paces,
+        TeamBuckets buckets,
+        ServiceRetries retries,
+        ColdShare cold,
+        LossBook losses,
+        TimerService timer,
+        RandomGenerator random,
+        DecisionLog log,
+        RunMeters meters) {}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/package-info.java
@@ -0,0 +1,2 @@
+/** The steps of one request. */
+package org.balsambank.core.serving.request;
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/FlightBook.java
@@ -0,0 +1,194 @@
+package org.balsambank.core.serving.target;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.id.VmId;
+import org.balsambank.core.serving.placement.AdapterKey;
+
+/**
+ * What this VM and the others have under way at each target.
+ *
+ * <p>Invariant: counts are never negative. Confined to the decision loop.
+ */
+public final class FlightBook {
+    private final Map<TargetId, Own> own = new HashMap<>();
+    private final Map<VmId, Map<TargetId, Use>> peers = new HashMap<>();
+    private final Set<TargetId> changed = new HashSet<>();
+
+    /** Creates an empty book. */
+    public FlightBook() {}
+
+    /**
+     * Begins a request at a target.
+     *
+     * @param target the target
+     * @param tokens the prompt tokens that it has to read
+     * @param adapter the adapter, if the request names one
+     * @return the request, to be ended
+     */
+    public Flight begin(final TargetId target, final long tokens, final Optional<AdapterKey> adapter) {
+        return new Flight(target, tokens, adapter);
+    }
+
+    /**
+     * Replaces what another VM has under way at a target.
+     *
+     * @param vm the other VM
+     * @param target the target
+     * @param use what it has there
+     */
+    public void peer(final VmId vm, final TargetId target, final Use use) {
+        peers.computeIfAbsent(vm, ignored -> new HashMap<>()).put(target, use);
+    }
+
+    /**
+     * Forgets what another VM has under way.
+     *
+     * @param vm the other VM
+     */
+    public void forget(final VmId vm) {
+        peers.remove(vm);
+    }
+
+    /**
+     * Returns what all VMs have under way at a target.
+     *
+     * @param target the target
+     * @return the requests and prompt tokens
+     */
+    public Use total(final TargetId target) {
+        final Own mine = own.get(target);
+        int requests = mine == null ? 0 : mine.requests;
+        long tokens = mine == null ? 0 : mine.tokens;
+        for (final Map<TargetId, Use> each : peers.values()) {
+            final Use use = each.get(target);
+            if (use != null) {
+                requests += use.requests();
+                tokens += use.tokensAhead();
+            }
+        }
+        return new Use(requests, tokens, Set.of());
+    }
+
+    /**
+     * Returns what this VM has under way at a target.
+     *
+     * @param target the target
+     * @return the requests, prompt tokens and adapters
+     */
+    public Use own(final TargetId target) {
+        final Own mine = own.get(target);
+        return mine == null ? Use.NONE : new Use(mine.requests, mine.tokens, Set.copyOf(mine.adapters.keySet()));
+    }
+
+    /**
+     * Tells whether a VM uses an adapter at a target.
+     *
+     * @param target the target
+     * @param adapter the adapter
+     * @return true if a request is under way
+     */
+    public boolean inUse(final TargetId target, final AdapterKey adapter) {
+        final Own mine = own.get(target);
+        if (mine != null && mine.adapters.containsKey(adapter)) {
+            return true;
+        }
+        for (final Map<TargetId, Use> each : peers.values()) {
+            final Use use = each.get(target);
+            if (use != null && use.adapters().contains(adapter)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the targets where this VM's use has changed since the last call.
+     *
+     * @return the targets
+     */
+    public Set<TargetId> takeChanged() {
+        final Set<TargetId> taken = new HashSet<>(changed);
+        changed.clear();
+        return taken;
+    }
+
+    /**
+     * Returns the targets where this VM has something under way.
+     *
+     * @return the targets
+     */
+    public Set<TargetId> busy() {
+        return Set.copyOf(own.keySet());
+    }
+
+    /**
+     * What is under way at a target.
+     *
+     * @param requests the requests
+     * @param tokensAhead the prompt tokens of requests without a first piece
+     * @param adapters the adapters that they use
+     */
+    public record Use(int requests, long tokensAhead, Set<AdapterKey> adapters) {
+        /** Nothing. */
+        public static final Use NONE = new Use(0, 0, Set.of());
+    }
+
+    /** One request at a target. Each of its steps counts once. Confined to the decision loop. */
+    public final class Flight {
+        private final TargetId target;
+        private final long tokens;
+        private final Optional<AdapterKey> adapter;
+        private boolean read;
+        private boolean ended;
+
+        private Flight(final TargetId target, final long tokens, final Optional<AdapterKey> adapter) {
+            this.target = target;
+            this.tokens = tokens;
+            this.adapter = adapter;
+            final Own mine = own.computeIfAbsent(target, ignored -> new Own());
+            mine.requests++;
+            mine.tokens += tokens;
+            adapter.ifPresent(key -> mine.adapters.merge(key, 1, Integer::sum));
+            changed.add(target);
+        }
+
+        /** The target has read the prompt. */
+        public void firstPiece() {
+            if (read || ended) {
+                return;
+            }
+            read = true;
+            own.get(target).tokens -= tokens;
+            changed.add(target);
+        }
+
+        /** Nothing of the request is left at the target. */
+        public void end() {
+            if (ended) {
+                return;
+            }
+            firstPiece();
+            ended = true;
+            final Own mine = own.get(target);
+            mine.requests--;
+            adapter.ifPresent(key -> mine.adapters.computeIfPresent(key, (k, n) -> n == 1 ? null : n - 1));
+            if (mine.requests == 0) {
+                own.remove(target);
+            }
+            changed.add(target);
+        }
+    }
+
+    /** What this VM has under way at one target. */
+    private static final class Own {
+        private int requests;
+        private long tokens;
+        private final Map<AdapterKey, Integer> adapters = new HashMap<>();
+    }
+}
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetBelief.java
@@ -0,0 +1,34 @@
+package org.balsambank.core.serving.target;
+
+/**
+ * What this VM believes of one target, and since when.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param entry what the target announced last
+ * @param revision the revision of the announcement
+ * @param learnedNanos when this VM learned of it, on the monotonic clock
+ * @param coldUntilNanos until when the target bears little
+ * @param goneAtNanos when the target counts as gone because its announcement has lapsed, or {@link Long#MAX_VALUE}
+ */
+public record TargetBelief(TargetEntry entry, long revision, long learnedNanos, long coldUntilNanos, long goneAtNanos) {
+    /**
+     * Tells whether the target bears little.
+     *
+     * @param nowNanos the monotonic time
+     * @return true while it is cold
+     */
+    public boolean cold(final long nowNanos) {
+        return nowNanos - coldUntilNanos < 0;
+    }
+
+    /**
+     * Tells whether new work may go there.
+     *
+     * @param nowNanos the monotonic time
+     * @return false if it is leaving or gone
+     */
+    public boolean usable(final long nowNanos) {
+        return !entry.leaving() && (goneAtNanos == Long.MAX_VALUE || nowNanos - goneAtNanos < 0);
+    }
+}
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/Outside.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/Outside.java
@@ -14,9 +14,9 @@
 import org.balsambank.peer.AddressBook;
 import org.balsambank.peer.NettyPeerLink;
 import org.balsambank.peer.PeerSettings;
-import org.balsambank.platform.HttpKeyValueStore;
-import org.balsambank.platform.HttpVmList;
-import org.balsambank.platform.KeyValueLimits;
+import org.balsambank.coordination.HttpKeyValueStore;
+import org.balsambank.coordination.HttpVmList;
+import org.balsambank.coordination.KeyValueLimits;
 
 /**
  * What a VM meets the outside through.
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/ModuleDependenciesTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/ModuleDependenciesTest.java
@@ -25,7 +25,8 @@
                         "io.netty..",
                         "java.net..",
                         "java.nio.channels..",
-                        "org.balsambank.platform..",
+                        "org.balsambank.coordination..",
+                        "org.balsambank.gateway..",
                         "org.balsambank.peer..",
                         "org.balsambank.daemon..")
                 .orShould()
@@ -41,11 +42,11 @@
                 .resideInAPackage("org.balsambank.peer..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("org.balsambank.daemon..", "org.balsambank.platform..", "io.vertx..")
+                .resideInAnyPackage("org.balsambank.daemon..", "org.balsambank.coordination..", "io.vertx..")
                 .check(CLASSES);
         noClasses()
                 .that()
-                .resideInAPackage("org.balsambank.platform..")
+                .resideInAPackage("org.balsambank.coordination..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("org.balsambank.daemon..", "org.balsambank.peer..", "org.balsambank.core.request..")
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/Environment.java
@@ -0,0 +1,15 @@
+package org.balsambank.gateway;
+
+import org.balsambank.core.port.KeyValueStore;
+import org.balsambank.core.serving.FactReader;
+import org.balsambank.core.serving.placement.TargetOrders;
+
+/**
+ * How a VM speaks to the outside.
+ *
+ * @param store the key-value service
+ * @param facts reads the entries of others
+ * @param orders speaks to targets about what they hold
+ * @param dialect the names and formats of callers and targets
+ */
+public record Environment(KeyValueStore store, FactReader facts, TargetOrders orders, Dialect dialect) {}
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerServer.java
@@ -0,0 +1,82 @@
+package org.balsambank.gateway.caller;
+
+import java.util.Objects;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.reactivex.rxjava3.core.Completable;
+
+/**
+ * Listens for callers.
+ *
+ * <p>Confined to the decision loop.
+ */
+public final class CallerServer {
+    private static final int BACKLOG = 512;
+
+    private final EventLoopGroup group;
+    private final CallerContext shared;
+    private Channel server;
+
+    /**
+     * Creates a server that does not listen.
+     *
+     * @param group the event loop
+     * @param shared what all connections share
+     */
+    public CallerServer(final EventLoopGroup group, final CallerContext shared) {
+        this.group = Objects.requireNonNull(group);
+        this.shared = Objects.requireNonNull(shared);
+    }
+
+    /**
+     * Listens.
+     *
+     * @param host the IP number
+     * @param port the TCP port
+     * @return completes when it listens; fails if the port can't be taken
+     */
+    public Completable listen(final String host, final int port) {
+        return Completable.create(emitter -> new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(final SocketChannel opened) {
+                        final CallerConnection connection = new CallerConnection(shared);
+                        opened.pipeline()
+                                .addLast(
+                                        new StrictRequestDecoder(
+                                                shared.core().bounds().maxHeaderBytes(), connection::bytes),
+                                        new HttpResponseEncoder(),
+                                        connection);
+                    }
+                })
+                .bind(host, port)
+                .addListener((ChannelFutureListener) bound -> {
+                    if (bound.isSuccess()) {
+                        server = bound.channel();
+                        emitter.onComplete();
+                    } else {
+                        emitter.tryOnError(bound.cause());
+                    }
+                }));
+    }
+
+    /** Takes no more connections. */
+    public void close() {
+        if (server != null) {
+            server.close();
+        }
+    }
+}
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of callers. */
+package org.balsambank.gateway.caller;
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/package-info.java
@@ -0,0 +1,2 @@
+/** The log of decisions on standard output. */
+package org.balsambank.gateway.log;
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/EventLoopScheduler.java
@@ -0,0 +1,99 @@
+package org.balsambank.gateway.loop;
+
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.disposables.Disposable;
+
+/**
+ * Runs RxJava tasks on one Netty event loop, in order, without threads of its own.
+ *
+ * <p>Immutable and thread-safe.
+ */
+final class EventLoopScheduler extends Scheduler {
+    private final EventLoop loop;
+
+    /**
+     * Creates a scheduler.
+     *
+     * @param loop runs the tasks
+     */
+    EventLoopScheduler(final EventLoop loop) {
+        this.loop = Objects.requireNonNull(loop);
+    }
+
+    @Override
+    public Worker createWorker() {
+        return new LoopWorker();
+    }
+
+    /** One sequence of tasks. Thread-safe. */
+    private final class LoopWorker extends Worker {
+        private final CompositeDisposable tasks = new CompositeDisposable();
+
+        @Override
+        public Disposable schedule(final Runnable task, final long delay, final TimeUnit unit) {
+            if (tasks.isDisposed()) {
+                return Disposable.disposed();
+            }
+            final Task scheduled = new Task(task);
+            tasks.add(scheduled);
+            if (delay <= 0) {
+                loop.execute(scheduled);
+            } else {
+                scheduled.future = loop.schedule(scheduled, delay, unit);
+            }
+            return scheduled;
+        }
+
+        @Override
+        public void dispose() {
+            tasks.dispose();
+        }
+
+        @Override
+        public boolean isDisposed() {
+            return tasks.isDisposed();
+        }
+
+        /** One task. Runs at most once, and not after it was disposed. */
+        private final class Task implements Runnable, Disposable {
+            private final Runnable task;
+            private volatile Future<?> future;
+            private volatile boolean disposed;
+
+            Task(final Runnable task) {
+                this.task = task;
+            }
+
+            @Override
+            public void run() {
+                if (disposed) {
+                    return;
+                }
+                disposed = true;
+                tasks.delete(this);
+                task.run();
+            }
+
+            @Override
+            public void dispose() {
+                disposed = true;
+                tasks.delete(this);
+                final Future<?> waiting = future;
+                if (waiting != null) {
+                    waiting.cancel(false);
+                }
+            }
+
+            @Override
+            public boolean isDisposed() {
+                return disposed;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/package-info.java
@@ -0,0 +1,2 @@
+/** The decision loop on one Netty event loop. */
+package org.balsambank.gateway.loop;
--- /dev/null
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to targets and small calls. */
+package org.balsambank.gateway.target;
