Decide each order on the exact number of accepted orders; end connections once the balancer has noticed a stop

Ruled out: two holders (one fence in the log of each target). Change: PlaceLedger holds places as of one number of accepted orders, gives only the unanswered order again, and waits for a report after a refusal. The listener closes 2.7 s after SIGTERM and idle connections end.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
@@ -3,20 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Supplier;
 
 import io.reactivex.rxjava3.core.Single;
-import io.reactivex.rxjava3.core.SingleEmitter;
-import org.balsambank.core.id.BaseModel;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.plan.EngineSpec;
 import org.balsambank.core.serving.plan.ModelSpec;
@@ -27,17 +22,17 @@
 /**
  * Gives orders to one start of one target: its base model, and the adapters that requests wait for.
  *
- * <p>Invariants: one order at a time is without an answer; loaded and pending adapters are never more than the places,
- * counting an order without an answer as carried out; nothing is ordered without the right; an order names the number
- * of orders that the target has accepted, so that one carried out late is refused. Confined to the decision loop.
+ * <p>Invariants: one order at a time is under way; nothing is ordered without the right, nor against the
+ * {@link PlaceLedger}. Confined to the decision loop.
  */
 public final class TargetKeeper {
     private static final int MAX_PENDING = 4;
     private static final Duration POLL = Duration.ofMillis(25);
-    private static final Duration REPORT_LAG = Duration.ofMillis(600);
+    private static final Duration AGAIN = Duration.ofMillis(60);
+    private static final Duration REPORT_LAG = Duration.ofMillis(400);
     private static final Duration GRANT_HOLDS = Duration.ofMillis(700);
     private static final Duration MODEL_RETRY = Duration.ofMillis(500);
-    private static final Duration REPORT_EVERY = Duration.ofMillis(1_500);
+    private static final Duration REPORT_EVERY = Duration.ofMillis(2_000);
     private static final int MAX_WAITING = 64;
 
     private final TargetEntry target;
@@ -48,18 +43,16 @@
     private final HoldingBook holdings;
     private final TimerService timer;
     private final DecisionLog log;
-    private final Set<BaseModel> models = new HashSet<>();
-    private final Map<AdapterKey, Long> held = new HashMap<>();
-    private final Map<AdapterKey, Pending> pending = new LinkedHashMap<>();
+    private final PlaceLedger ledger = new PlaceLedger();
     private final Map<AdapterKey, Wish> wishes = new LinkedHashMap<>();
     private final Map<AdapterKey, Long> lastUse = new HashMap<>();
-    private long sequence;
-    private boolean known;
+    private final Map<AdapterKey, Long> polls = new HashMap<>();
     private boolean asking;
     private boolean ordering;
     private long nextReportNanos;
     private long nextModelNanos;
-    private long changedNanos;
+    private long nextOrderNanos;
+    private long answeredNanos;
     private boolean told;
 
     /**
@@ -125,12 +118,12 @@
     public Single<Hold> ensure(
             final AdapterKey adapter, final long version, final boolean missing, final Duration wait) {
         return Single.create(emitter -> {
-            if (missing && held.remove(adapter) != null) {
-                refresh();
+            if (missing && ledger.missing(adapter)) {
+                nextReportNanos = timer.nanoTime();
             }
             lastUse.put(adapter, timer.nanoTime());
-            final Long loaded = held.get(adapter);
-            if (known && loaded != null && loaded >= version) {
+            final Long loaded = ledger.held().get(adapter);
+            if (loaded != null && loaded >= version) {
                 emitter.onSuccess(Hold.of(loaded));
                 return;
             }
@@ -158,18 +151,15 @@
         if (now - nextReportNanos >= 0 && !asking) {
             readReport();
         }
-        if (!known) {
-            return;
-        }
         final Optional<EngineSpec> spec = engine.get();
-        if (spec.isEmpty()) {
+        if (!ledger.certain() || spec.isEmpty() || now - nextOrderNanos < 0) {
             return;
         }
-        if (models.isEmpty()) {
+        if (ledger.models().isEmpty()) {
             loadModel(spec.get(), now);
             return;
         }
-        next(spec.get(), now);
+        next(spec.get(), now).ifPresent(this::give);
     }
 
     /** Ends all wishes, as this VM no longer gives orders here. */
@@ -177,44 +167,36 @@
         refuseAll("no longer the one that gives orders");
     }
 
-    private void next(final EngineSpec spec, final long now) {
-        for (final Map.Entry<AdapterKey, Pending> each : pending.entrySet()) {
-            if (now - each.getValue().nextAskNanos >= 0) {
-                order(load(each.getKey(), each.getValue().version), each.getKey());
-                return;
+    private Optional<Order> next(final EngineSpec spec, final long now) {
+        if (ledger.unanswered().isPresent()) {
+            return ledger.unanswered();
+        }
+        for (final Map.Entry<AdapterKey, Long> each : ledger.pending().entrySet()) {
+            if (now - polls.getOrDefault(each.getKey(), now) >= 0) {
+                return Optional.of(load(each.getKey(), each.getValue()));
             }
         }
         for (final Map.Entry<AdapterKey, Wish> wish : wishes.entrySet()) {
-            if (pending.containsKey(wish.getKey())) {
+            final AdapterKey adapter = wish.getKey();
+            if (ledger.pending().containsKey(adapter) || !ledger.models().contains(adapter.model())) {
                 continue;
             }
-            if (!models.contains(wish.getKey().model())) {
-                continue;
-            }
-            if (pending.size() >= MAX_PENDING) {
-                return;
+            if (ledger.pending().size() >= MAX_PENDING) {
+                return Optional.empty();
             }
-            final boolean replaces = held.containsKey(wish.getKey());
-            if (replaces || held.size() + pendingNew() < spec.adapterPlaces()) {
-                order(load(wish.getKey(), wish.getValue().version), wish.getKey());
-                return;
+            if (ledger.taken() < spec.adapterPlaces()) {
+                return Optional.of(load(adapter, wish.getValue().version()));
             }
-            final Optional<AdapterKey> victim = PlaceChoice.victim(held, this::inUse, this::lastUse);
+            final Optional<AdapterKey> victim = PlaceChoice.victim(ledger.held(), this::inUse, this::lastUse);
             if (victim.isPresent()) {
-                order(unload(victim.get()), victim.get());
-                return;
+                return victim.map(this::unload);
             }
         }
-    }
-
-    private long pendingNew() {
-        return pending.keySet().stream().filter(each -> !held.containsKey(each)).count();
+        return Optional.empty();
     }
 
     private boolean inUse(final AdapterKey adapter) {
-        return pending.containsKey(adapter)
-                || flights.inUse(target.id(), adapter)
-                || timer.nanoTime() - lastUse(adapter) < GRANT_HOLDS.toNanos();
+        return flights.inUse(target.id(), adapter) || timer.nanoTime() - lastUse(adapter) < GRANT_HOLDS.toNanos();
     }
 
     private long lastUse(final AdapterKey adapter) {
@@ -223,119 +205,85 @@
     }
 
     private Order load(final AdapterKey adapter, final long version) {
-        return new Order(
-                true,
-                adapter.model(),
-                Optional.of(adapter),
-                version,
-                right.holder(),
-                right.fence(),
-                pending.containsKey(adapter) ? OptionalLong.empty() : OptionalLong.of(sequence));
+        return order(true, adapter, version);
     }
 
     private Order unload(final AdapterKey adapter) {
+        return order(false, adapter, 0);
+    }
+
+    private Order order(final boolean load, final AdapterKey adapter, final long version) {
         return new Order(
-                false,
+                load,
                 adapter.model(),
                 Optional.of(adapter),
-                0,
+                version,
                 right.holder(),
                 right.fence(),
-                OptionalLong.of(sequence));
+                OptionalLong.of(ledger.sequence()));
     }
 
-    private void order(final Order order, final AdapterKey adapter) {
+    private void give(final Order order) {
+        final AdapterKey adapter = order.adapter().orElseThrow();
+        final boolean poll = order.load() && ledger.pending().containsKey(adapter);
         ordering = true;
-        final boolean poll = order.load() && pending.containsKey(adapter);
         orders.give(target, order).subscribe(result -> {
             ordering = false;
-            if (!poll) {
+            answeredNanos = timer.nanoTime();
+            if (!poll || result != OrderResult.ACCEPTED) {
                 note(order, result);
             }
-            if (order.load()) {
-                loadAnswered(adapter, order.version(), result);
-            } else {
-                unloadAnswered(adapter, result);
-            }
+            ledger.answered(order, result);
+            polls.put(adapter, answeredNanos + POLL.toNanos());
+            answered(order, adapter, result);
             step();
         });
     }
 
-    private void loadAnswered(final AdapterKey adapter, final long version, final OrderResult result) {
-        final long now = timer.nanoTime();
-        switch (result) {
-            case HOLDS -> loaded(adapter, version);
-            case ACCEPTED -> {
-                final Pending before = pending.get(adapter);
-                if (before == null) {
-                    sequence++;
-                    pending.put(adapter, new Pending(version, now + POLL.toNanos()));
-                    tell();
-                } else {
-                    before.nextAskNanos = now + POLL.toNanos();
-                }
-            }
-            case UNKNOWN -> {
-                pending.computeIfAbsent(adapter, ignored -> new Pending(version, 0)).nextAskNanos =
-                        now + REPORT_LAG.toNanos();
-                refresh();
-            }
-            default -> failed(adapter, result);
-        }
-    }
-
-    private void unloadAnswered(final AdapterKey adapter, final OrderResult result) {
+    private void answered(final Order order, final AdapterKey adapter, final OrderResult result) {
         switch (result) {
             case HOLDS -> {
-                sequence++;
-                held.remove(adapter);
+                if (order.load()) {
+                    loaded(adapter);
+                }
                 tell();
             }
-            case ACCEPTED -> {
-                sequence++;
-                held.remove(adapter);
-                refresh();
+            case ACCEPTED -> tell();
+            case FENCED -> {
+                right.lost();
+                refuseAll("fenced");
             }
-            default -> failed(adapter, result);
+            case UNKNOWN, REFUSED -> nextOrderNanos = answeredNanos + AGAIN.toNanos();
+            default -> {
+                nextOrderNanos = answeredNanos + AGAIN.toNanos();
+                if (result == OrderResult.MISDIRECTED || result == OrderResult.INVALID) {
+                    refuse(adapter, "order " + result);
+                }
+            }
+        }
+        if (!ledger.certain()) {
+            nextReportNanos = answeredNanos + REPORT_LAG.toNanos();
         }
     }
 
-    private void loaded(final AdapterKey adapter, final long version) {
-        pending.remove(adapter);
-        held.put(adapter, Math.max(version, held.getOrDefault(adapter, 0L)));
+    private void loaded(final AdapterKey adapter) {
         lastUse.put(adapter, timer.nanoTime());
         final Wish wish = wishes.remove(adapter);
         if (wish != null) {
-            wish.end(Hold.of(held.get(adapter)));
+            wish.end(Hold.of(ledger.held().get(adapter)));
         }
-        tell();
     }
 
-    private void failed(final AdapterKey adapter, final OrderResult result) {
-        if (result == OrderResult.FENCED) {
-            right.lost();
-            refuseAll("fenced");
-            return;
-        }
-        final Pending waiting = pending.get(adapter);
-        if (waiting != null && (result == OrderResult.BUSY || result == OrderResult.REFUSED)) {
-            waiting.nextAskNanos = timer.nanoTime() + POLL.toNanos();
-            return;
-        }
-        pending.remove(adapter);
+    private void refuse(final AdapterKey adapter, final String reason) {
         final Wish wish = wishes.remove(adapter);
         if (wish != null) {
-            wish.end(Hold.refused("order " + result));
+            wish.end(Hold.refused(reason));
         }
-        refresh();
     }
 
     private void loadModel(final EngineSpec spec, final long now) {
-        if (now - nextModelNanos < 0) {
-            return;
-        }
         final Optional<ModelSpec> model = wantedModel(spec);
-        if (model.isEmpty()) {
+        if (now - nextModelNanos < 0 || model.isEmpty()) {
             return;
         }
         nextModelNanos = now + MODEL_RETRY.toNanos();
@@ -344,14 +292,14 @@
         ordering = true;
         orders.give(target, order).subscribe(result -> {
             ordering = false;
+            answeredNanos = timer.nanoTime();
             note(order, result);
             if (result == OrderResult.FENCED) {
                 right.lost();
             } else if (result == OrderResult.HOLDS) {
-                models.add(model.get().model());
-                refresh();
+                ledger.modelLoaded(model.get().model());
+                nextReportNanos = answeredNanos + REPORT_LAG.toNanos();
             }
-            step();
         });
     }
 
@@ -367,57 +315,41 @@
                 : Optional.of(spec.models().get(0));
     }
 
-    private void refresh() {
-        changedNanos = timer.nanoTime();
-        nextReportNanos = changedNanos + REPORT_LAG.toNanos();
-    }
-
     private void readReport() {
         asking = true;
         final long askedNanos = timer.nanoTime();
-        nextReportNanos = askedNanos + REPORT_EVERY.toNanos();
+        nextReportNanos = askedNanos + (ledger.certain() ? REPORT_EVERY : AGAIN).toNanos();
         orders.report(target)
                 .subscribe(
                         status -> {
                             asking = false;
-                            if (!ordering && askedNanos - changedNanos >= (known ? REPORT_LAG.toNanos() : 0)) {
-                                reported(status);
+                            final boolean settled =
+                                    answeredNanos == 0 || askedNanos - answeredNanos >= REPORT_LAG.toNanos();
+                            if (!ordering && settled && ledger.reported(status)) {
+                                reported();
                             }
                             step();
                         },
                         error -> asking = false);
     }
 
-    private void reported(final TargetStatus status) {
-        known = true;
-        sequence = status.sequence();
-        models.clear();
-        models.addAll(status.models());
-        held.clear();
-        held.putAll(status.adapters());
-        for (final AdapterKey each : status.pending()) {
-            pending.computeIfAbsent(each, ignored -> new Pending(0, timer.nanoTime()));
-        }
-        pending.keySet()
-                .removeIf(each ->
-                        !status.pending().contains(each) && !status.adapters().containsKey(each));
-        final Iterator<Map.Entry<AdapterKey, Wish>> waiting = wishes.entrySet().iterator();
-        while (waiting.hasNext()) {
-            final Map.Entry<AdapterKey, Wish> wish = waiting.next();
-            final Long loaded = held.get(wish.getKey());
-            if (loaded != null && loaded >= wish.getValue().version) {
-                waiting.remove();
-                pending.remove(wish.getKey());
-                wish.getValue().end(Hold.of(loaded));
+    private void reported() {
+        for (final AdapterKey adapter : List.copyOf(wishes.keySet())) {
+            final Long loaded = ledger.held().get(adapter);
+            if (loaded != null && loaded >= wishes.get(adapter).version()) {
+                loaded(adapter);
             }
         }
         tell();
     }
 
     private void tell() {
-        changedNanos = timer.nanoTime();
-        told = true;
-        holdings.told(target.id(), new HeldAdapters(right.fence(), held, pending.keySet(), models));
+        final HeldAdapters now =
+                new HeldAdapters(right.fence(), ledger.held(), ledger.pending().keySet(), ledger.models());
+        if (!now.equals(holdings.of(target))) {
+            told = true;
+            holdings.told(target.id(), now);
+        }
     }
 
     /**
@@ -433,14 +365,9 @@
 
     private void expireWishes() {
         final long now = timer.nanoTime();
-        final List<AdapterKey> empty = new ArrayList<>();
-        wishes.forEach((adapter, wish) -> {
-            wish.expire(now);
-            if (wish.waiting.isEmpty()) {
-                empty.add(adapter);
-            }
-        });
-        empty.forEach(wishes::remove);
+        final List<Wish> all = new ArrayList<>(wishes.values());
+        all.forEach(wish -> wish.expire(now));
+        wishes.values().removeIf(Wish::over);
     }
 
     private void refuseAll(final String reason) {
@@ -461,55 +388,8 @@
                 .with("version", order.version())
                 .with("fence", order.fence())
                 .with("sequence", order.expectedSequence().orElse(-1))
+                .with("taken", ledger.taken())
                 .with("outcome", result.name())
                 .write();
     }
-
-    /** A load that the target has accepted. */
-    private static final class Pending {
-        private final long version;
-        private long nextAskNanos;
-
-        Pending(final long version, final long nextAskNanos) {
-            this.version = version;
-            this.nextAskNanos = nextAskNanos;
-        }
-    }
-
-    /** Those who wait for one adapter. */
-    private static final class Wish {
-        private final long sinceNanos;
-        private final Map<SingleEmitter<Hold>, Long> waiting = new LinkedHashMap<>();
-        private long version;
-
-        Wish(final long sinceNanos) {
-            this.sinceNanos = sinceNanos;
-        }
-
-        void add(final SingleEmitter<Hold> emitter, final long wanted, final long untilNanos) {
-            version = Math.max(version, wanted);
-            waiting.put(emitter, untilNanos);
-        }
-
-        void expire(final long nowNanos) {
-            final List<SingleEmitter<Hold>> late = new ArrayList<>();
-            waiting.forEach((emitter, until) -> {
-                if (nowNanos - until >= 0) {
-                    late.add(emitter);
-                }
-            });
-            final String reason =
-                    "no place for " + Duration.ofNanos(nowNanos - sinceNanos).toMillis() + " ms";
-            late.forEach(emitter -> {
-                waiting.remove(emitter);
-                emitter.onSuccess(Hold.refused(reason));
-            });
-        }
-
-        void end(final Hold hold) {
-            final List<SingleEmitter<Hold>> all = new ArrayList<>(waiting.keySet());
-            waiting.clear();
-            all.forEach(emitter -> emitter.onSuccess(hold));
-        }
-    }
 }
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Wish.java
@@ -0,0 +1,87 @@
+package org.balsambank.core.serving.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.reactivex.rxjava3.core.SingleEmitter;
+
+/**
+ * Those who wait for one adapter at one target.
+ *
+ * <p>Confined to the decision loop. Each waiter is answered once.
+ */
+final class Wish {
+    private final long sinceNanos;
+    private final Map<SingleEmitter<Hold>, Long> waiting = new LinkedHashMap<>();
+    private long version;
+
+    /**
+     * Creates a wish without waiters.
+     *
+     * @param sinceNanos the monotonic time
+     */
+    Wish(final long sinceNanos) {
+        this.sinceNanos = sinceNanos;
+    }
+
+    /**
+     * Adds a waiter.
+     *
+     * @param emitter the waiter
+     * @param wanted the least version, 0 for any
+     * @param untilNanos when it gives up
+     */
+    void add(final SingleEmitter<Hold> emitter, final long wanted, final long untilNanos) {
+        version = Math.max(version, wanted);
+        waiting.put(emitter, untilNanos);
+    }
+
+    /**
+     * Returns the least version that fits all waiters.
+     *
+     * @return the version, 0 for any
+     */
+    long version() {
+        return version;
+    }
+
+    /**
+     * Tells whether nobody waits.
+     *
+     * @return true if all have given up
+     */
+    boolean over() {
+        return waiting.isEmpty();
+    }
+
+    /**
+     * Answers those that have given up.
+     *
+     * @param nowNanos the monotonic time
+     */
+    void expire(final long nowNanos) {
+        final List<SingleEmitter<Hold>> late = new ArrayList<>();
+        waiting.forEach((emitter, until) -> {
+            if (emitter.isDisposed() || nowNanos - until >= 0) {
+                late.add(emitter);
+            }
+        });
+        final long waited = Duration.ofNanos(nowNanos - sinceNanos).toMillis();
+        late.forEach(waiting::remove);
+        late.forEach(emitter -> emitter.onSuccess(Hold.refused("not there after " + waited + " ms")));
+    }
+
+    /**
+     * Answers all.
+     *
+     * @param hold the answer
+     */
+    void end(final Hold hold) {
+        final List<SingleEmitter<Hold>> all = new ArrayList<>(waiting.keySet());
+        waiting.clear();
+        all.forEach(emitter -> emitter.onSuccess(hold));
+    }
+}
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/Outside.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/Outside.java
@@ -4,6 +4,9 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.client.WebClient;
+import org.balsambank.coordination.HttpKeyValueStore;
+import org.balsambank.coordination.HttpVmList;
+import org.balsambank.coordination.KeyValueLimits;
 import org.balsambank.core.port.KeyValueStore;
 import org.balsambank.core.port.TargetClient;
 import org.balsambank.core.port.VmEntry;
@@ -14,9 +17,6 @@
 import org.balsambank.peer.AddressBook;
 import org.balsambank.peer.NettyPeerLink;
 import org.balsambank.peer.PeerSettings;
-import org.balsambank.coordination.HttpKeyValueStore;
-import org.balsambank.coordination.HttpVmList;
-import org.balsambank.coordination.KeyValueLimits;
 
 /**
  * What a VM meets the outside through.
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -28,7 +28,7 @@
  */
 public final class ServingDaemon {
     private static final Duration ADDRESSES = Duration.ofMillis(100);
-    private static final Duration LEAST_STOP = Duration.ofMillis(3_300);
+    private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_700);
     private static final Duration STOP_MARGIN = Duration.ofMillis(900);
     private static final Duration STOP_CHECK = Duration.ofMillis(100);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(250);
@@ -126,10 +126,13 @@
                             .write();
                     callers.stop();
                     final long sinceNanos = timer.nanoTime();
-                    final Completable quiet = timer.every(STOP_CHECK)
-                            .takeWhile(tick -> !quiet(Duration.ofNanos(timer.nanoTime() - sinceNanos)))
+                    final Completable served = timer.every(STOP_CHECK)
+                            .doOnNext(tick -> callers.closeIdle())
+                            .takeWhile(tick -> !served(Duration.ofNanos(timer.nanoTime() - sinceNanos)))
                             .ignoreElements();
-                    return core.handOver().andThen(quiet).andThen(Completable.fromAction(this::closeCallers));
+                    return Completable.mergeArray(core.handOver(), timer.after(BALANCER_NOTICES))
+                            .doOnComplete(callerServer::close)
+                            .andThen(served);
                 })
                 .andThen(timer.after(LAST_ANSWERS))
                 .doOnComplete(() -> log.line("stopped")
@@ -144,16 +147,8 @@
         core.storeHeard();
     }
 
-    private boolean quiet(final Duration since) {
-        if (since.compareTo(settings.grace().minus(STOP_MARGIN)) >= 0) {
-            return true;
-        }
-        return since.compareTo(LEAST_STOP) >= 0 && callers.running() == 0;
-    }
-
-    private void closeCallers() {
-        callerServer.close();
-        callers.closeIdle();
+    private boolean served(final Duration since) {
+        return callers.running() == 0 || since.compareTo(settings.grace().minus(STOP_MARGIN)) >= 0;
     }
 
     private void started() {
