Choose targets by expected loss; let watches collect changes; use a part of the rates' slack

Change: ExpectedLoss weighs lateness, pauses of running answers and fetches; adapters lately held by a target count as at hand; a target to which nobody gives orders is passed over for 400 ms; a watch pauses 450 ms between questions; rates are widened by half of the slack.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -128,11 +128,11 @@
                 peers,
                 timer,
                 log);
-        final TeamBuckets buckets = new TeamBuckets(timer, members);
+        final TeamBuckets buckets = new TeamBuckets(timer, members, settings.rateSlack());
         final LossBook losses = new LossBook(timer);
         final ColdShare cold = new ColdShare(timer, members);
         final TargetChooser chooser =
-                new TargetChooser(targets, flights, holdings, paces, cold, settings.domain(), timer, random);
+                new TargetChooser(targets, flights, holdings, placement, paces, cold, settings.domain(), timer, random);
         digests = new DigestExchange(
                 UUID.randomUUID().getMostSignificantBits(),
                 peers,
@@ -212,11 +212,6 @@
         return members;
     }
 
-    /** Notes that the key-value service has answered. */
-    public void storeHeard() {
-        reader.heard();
-    }
-
     /**
      * Hands over what this VM decides for the fleet.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingSettings.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingSettings.java
@@ -4,6 +4,7 @@
 
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.VmId;
+import org.balsambank.core.serving.admission.RateSlack;
 
 /**
  * What a VM has to know to serve.
@@ -16,6 +17,7 @@
  * @param peerPort the TCP port on which the others reach it
  * @param retryShare the retries that the fleet may send for each request
  * @param retryReserve the retries that the fleet may send besides
+ * @param rateSlack how far rates of teams may be exceeded
  * @param coldOverage how far the requests of a second at a cold target may exceed its figure, as a factor
  * @param coldSlack how many more requests it bears
  * @param grace how long this VM has to stop
@@ -27,6 +29,7 @@
         int peerPort,
         double retryShare,
         double retryReserve,
+        RateSlack rateSlack,
         double coldOverage,
         double coldSlack,
         Duration grace) {}
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
@@ -27,6 +27,7 @@
 
     private final TimerService timer;
     private final FleetShare fleet;
+    private final RateSlack slack;
     private final Map<TeamId, DebtBucket> buckets = new HashMap<>();
     private final Map<TeamId, Double> admitted = new HashMap<>();
     private final Map<VmId, Map<TeamId, Long>> peers = new HashMap<>();
@@ -36,10 +37,12 @@
      *
      * @param timer gives the time
      * @param fleet tells how many VMs share the rates
+     * @param slack how far rates may be exceeded
      */
-    public TeamBuckets(final TimerService timer, final FleetShare fleet) {
+    public TeamBuckets(final TimerService timer, final FleetShare fleet, final RateSlack slack) {
         this.timer = Objects.requireNonNull(timer);
         this.fleet = Objects.requireNonNull(fleet);
+        this.slack = Objects.requireNonNull(slack);
     }
 
     /**
@@ -109,7 +112,8 @@
         return totals;
     }
 
-    private DebtBucket filled(final TeamId team, final RateLimit limit) {
+    private DebtBucket filled(final TeamId team, final RateLimit bought) {
+        final RateLimit limit = slack.widen(bought);
         final long now = timer.nanoTime();
         final DebtBucket bucket =
                 buckets.computeIfAbsent(team, ignored -> new DebtBucket(limit, limit.burst() * FIRST_FILL, now));
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Choice.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Choice.java
@@ -11,5 +11,6 @@
  * @param needsLoad whether its adapter has to be loaded there first
  * @param estimateMillis the time to the first piece, loads included
  * @param readMillis the part of it that is spent at the target, without the target's pace
+ * @param loss what the choice is expected to cost
  */
-public record Choice(TargetEntry target, boolean needsLoad, double estimateMillis, double readMillis) {}
+public record Choice(TargetEntry target, boolean needsLoad, double estimateMillis, double readMillis, double loss) {}
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/LoadEstimate.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/LoadEstimate.java
@@ -1,20 +1,16 @@
 package org.balsambank.core.serving.choice;
 
-import java.util.Optional;
-
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.HeldAdapters;
 
 /**
  * Estimates how long an adapter takes to be at a target.
  *
- * <p>Answers the load pattern of rare adapters: an adapter always goes to the same few targets, where it is likely to
- * have been before, which makes a load short. Stateless and thread-safe.
+ * <p>Stateless and thread-safe.
  */
 final class LoadEstimate {
-    private static final double HOME_MILLIS = 120;
-    private static final double NEXT_MILLIS = 260;
-    private static final double OTHER_MILLIS = 330;
+    private static final double COPY_AT_HAND_MILLIS = 45;
+    private static final double FROM_STORE_MILLIS = 300;
     private static final double PENDING_MILLIS = 150;
     private static final double QUEUED_MILLIS = 120;
     private static final int PARALLEL_LOADS = 4;
@@ -22,27 +18,18 @@
     private LoadEstimate() {}
 
     /**
-     * Estimates the time until the adapter is there.
+     * Estimates the time until an adapter is there that is not there yet.
      *
-     * @param adapter the adapter, if the request names one
-     * @param version the least version, 0 for any
+     * @param adapter the adapter
      * @param held what the target holds
-     * @param rank the place of the target in the rendezvous order of the adapter, from 0
-     * @return milliseconds, 0 if it is there
+     * @param atHand whether the target has held it lately
+     * @return milliseconds
      */
-    static double millis(
-            final Optional<AdapterKey> adapter, final long version, final HeldAdapters held, final int rank) {
-        if (adapter.isEmpty()) {
-            return 0;
-        }
-        final AdapterKey key = adapter.get();
-        if (held.version(key).isPresent() && held.version(key).getAsLong() >= version) {
-            return 0;
-        }
-        if (held.pending().contains(key)) {
+    static double millis(final AdapterKey adapter, final HeldAdapters held, final boolean atHand) {
+        if (held.pending().contains(adapter)) {
             return PENDING_MILLIS;
         }
         final double queued = Math.max(0, held.pending().size() + 1 - PARALLEL_LOADS) * QUEUED_MILLIS;
-        return queued + (rank == 0 ? HOME_MILLIS : rank == 1 ? NEXT_MILLIS : OTHER_MILLIS);
+        return queued + (atHand ? COPY_AT_HAND_MILLIS : FROM_STORE_MILLIS);
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -15,6 +16,7 @@
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.HeldAdapters;
 import org.balsambank.core.serving.placement.HoldingBook;
+import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.plan.EngineSpec;
 import org.balsambank.core.serving.target.FlightBook;
 import org.balsambank.core.serving.target.PaceBook;
@@ -24,7 +26,7 @@
 import org.balsambank.core.time.TimerService;
 
 /**
- * Chooses the target with the least estimated time to the first piece.
+ * Chooses the target with the least expected loss.
  *
  * <p>Confined to the decision loop.
  */
@@ -34,12 +36,14 @@
     private static final double FULL_MILLIS = 400;
     private static final double PLAIN_REQUEST_MILLIS = 60;
     private static final double FAR_MILLIS = 6;
-    private static final double TOKEN_MARGIN = 0.95;
+    private static final double FAILURE_LOSS = 0.8;
+    private static final double DEAF_LOSS = 5;
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final TargetTable targets;
     private final FlightBook flights;
     private final HoldingBook holdings;
+    private final Placement placement;
     private final PaceBook paces;
     private final ColdShare cold;
     private final FailureDomain domain;
@@ -52,6 +56,7 @@
      * @param targets the targets
      * @param flights what is under way
      * @param holdings what targets hold
+     * @param placement tells to which targets no orders can be given
      * @param paces how slow targets are
      * @param cold what cold targets bear
      * @param domain the failure domain of this VM
@@ -62,6 +67,7 @@
             final TargetTable targets,
             final FlightBook flights,
             final HoldingBook holdings,
+            final Placement placement,
             final PaceBook paces,
             final ColdShare cold,
             final FailureDomain domain,
@@ -70,6 +76,7 @@
         this.targets = Objects.requireNonNull(targets);
         this.flights = Objects.requireNonNull(flights);
         this.holdings = Objects.requireNonNull(holdings);
+        this.placement = Objects.requireNonNull(placement);
         this.paces = Objects.requireNonNull(paces);
         this.cold = Objects.requireNonNull(cold);
         this.domain = Objects.requireNonNull(domain);
@@ -118,7 +125,7 @@
                     + random.nextDouble();
             if (cost < least) {
                 least = cost;
-                best = new Choice(target, false, cost, read);
+                best = new Choice(target, false, cost, read, cost);
             }
         }
         return Optional.ofNullable(best);
@@ -136,7 +143,7 @@
                 continue;
             }
             final Choice choice = estimate(wanted, target, spec, rank);
-            if (best == null || choice.estimateMillis() < best.estimateMillis()) {
+            if (best == null || choice.loss() < best.loss()) {
                 best = choice;
             }
         }
@@ -146,20 +153,34 @@
     private Choice estimate(final Wanted wanted, final TargetEntry target, final EngineSpec spec, final int rank) {
         final FlightBook.Use use = flights.total(target.id());
         final HeldAdapters held = holdings.of(target);
-        final long version = wanted.adapter().map(holdings::newest).orElse(0L);
-        final double load = LoadEstimate.millis(wanted.adapter(), version, held, rank);
+        final boolean there =
+                wanted.adapter().isEmpty() || holds(held, wanted.adapter().get());
         final double read = FirstPieceEstimate.millis(use, wanted.promptTokens());
-        double cost = load + read * paces.pace(target.id()) + FAILURE_MILLIS * paces.failures(target.id());
-        if (load > 0 && !hasPlace(target.id(), held, spec)) {
-            cost += BUSY_PLACES_MILLIS;
+        double load = 0;
+        double loss = FAILURE_LOSS * paces.failures(target.id());
+        if (!there) {
+            final AdapterKey adapter = wanted.adapter().get();
+            final boolean atHand = holdings.heldLately(target.id(), adapter);
+            load = LoadEstimate.millis(adapter, held, atHand);
+            loss += atHand || rank == 0 ? 0 : ExpectedLoss.ofFetch();
+            if (!hasPlace(target.id(), held, spec)) {
+                load += BUSY_PLACES_MILLIS;
+            }
+            if (placement.deaf(target.id())) {
+                loss += DEAF_LOSS;
+            }
         }
+        double time = load + read * paces.pace(target.id());
         if (use.requests() >= spec.slots()) {
-            cost += FULL_MILLIS;
-        }
-        if (wanted.promptTokens() + wanted.outputTokens() > spec.tokenCapacity() * TOKEN_MARGIN) {
-            cost += FULL_MILLIS;
+            time += FULL_MILLIS;
         }
-        return new Choice(target, load > 0, cost, read);
+        loss += ExpectedLoss.ofTime(time, wanted.objectiveMillis()) + ExpectedLoss.ofPauses(use, wanted.promptTokens());
+        return new Choice(target, !there, time, read, loss);
+    }
+
+    private boolean holds(final HeldAdapters held, final AdapterKey adapter) {
+        final OptionalLong version = held.version(adapter);
+        return version.isPresent() && version.getAsLong() >= holdings.newest(adapter);
     }
 
     private boolean hasPlace(final TargetId target, final HeldAdapters held, final EngineSpec spec) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Wanted.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Wanted.java
@@ -16,10 +16,12 @@
  * @param adapter the adapter, if the request names one
  * @param promptTokens the tokens to read before the first piece
  * @param outputTokens the most tokens to write
+ * @param objectiveMillis the time within which the first piece is in time, 0 if there is none
  */
 public record Wanted(
         ServiceSpec service,
         Optional<BaseModel> model,
         Optional<AdapterKey> adapter,
         long promptTokens,
-        long outputTokens) {}
+        long outputTokens,
+        long objectiveMillis) {}
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
@@ -1,6 +1,7 @@
 package org.balsambank.core.serving.placement;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -17,6 +18,7 @@
 public final class HoldingBook {
     private final Map<TargetId, HeldAdapters> held = new HashMap<>();
     private final Map<AdapterKey, Long> newest = new HashMap<>();
+    private final Map<TargetId, Map<AdapterKey, Boolean>> recent = new HashMap<>();
 
     /** Creates an empty book. */
     public HoldingBook() {}
@@ -31,9 +33,24 @@
         final HeldAdapters known = held.get(target);
         if (known == null || known.fence() <= adapters.fence()) {
             held.put(target, adapters);
+            final Map<AdapterKey, Boolean> seen = recent.computeIfAbsent(target, ignored -> new RecentAdapters());
+            adapters.adapters().keySet().forEach(each -> seen.put(each, true));
+            adapters.pending().forEach(each -> seen.put(each, true));
         }
     }
 
+    /**
+     * Tells whether a target has held an adapter lately, so that it still has a copy at hand.
+     *
+     * @param target the target
+     * @param adapter the adapter
+     * @return true if a load is short
+     */
+    public boolean heldLately(final TargetId target, final AdapterKey adapter) {
+        final Map<AdapterKey, Boolean> seen = recent.get(target);
+        return seen != null && seen.containsKey(adapter);
+    }
+
     /**
      * A target has just said that it does not hold an adapter.
      *
@@ -54,6 +71,7 @@
      */
     public void forget(final TargetId target) {
         held.remove(target);
+        recent.remove(target);
     }
 
     /**
@@ -105,4 +123,20 @@
     private static HeldAdapters announced(final TargetEntry entry) {
         return new HeldAdapters(0, entry.adapters(), Set.of(), Set.copyOf(entry.models()));
     }
+
+    /** The adapters that a target has held, the one told last at the end; the eldest makes way. */
+    private static final class RecentAdapters extends LinkedHashMap<AdapterKey, Boolean> {
+        private static final long serialVersionUID = 1L;
+        private static final int MAX_COPIES = 36;
+        private static final float LOAD_FACTOR = 0.75f;
+
+        RecentAdapters() {
+            super(2 * MAX_COPIES, LOAD_FACTOR, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(final Map.Entry<AdapterKey, Boolean> eldest) {
+            return size() > MAX_COPIES;
+        }
+    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/PlaceLedger.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/PlaceLedger.java
@@ -13,10 +13,10 @@
  * What one start of a target holds, exactly as of the number of orders that it has accepted.
  *
  * <p>Answers orders that get no answer and are carried out seconds later. Each order that changes something names the
- * number of accepted orders on which it was decided, so a late one is refused as soon as another one was accepted. After
- * an order without an answer only that order is given again; after a refusal for its number nothing is ordered until a
- * report tells the number anew. Invariant: no more adapters are loaded, pending or leaving than there are places, whenever
- * an order is carried out. Confined to the decision loop.
+ * number of accepted orders on which it was decided, so a late one is refused as soon as another one was accepted.
+ * After an order without an answer only that order is given again; after a refusal for its number nothing is ordered
+ * until a report tells the number anew. Invariant: no more adapters are loaded, pending or leaving than there are
+ * places, whenever an order is carried out. Confined to the decision loop.
  */
 final class PlaceLedger {
     private final Set<BaseModel> models = new HashSet<>();
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
@@ -35,9 +35,11 @@
  * <p>Confined to the decision loop.
  */
 public final class Placement implements Part {
+    private static final String NO_RIGHT = "no right to give orders";
     private static final Duration STEP = Duration.ofMillis(25);
     private static final int CLAIM_STEPS = 8;
     private static final Duration MARGIN = Duration.ofMillis(100);
+    private static final long DEAF_NANOS = Duration.ofMillis(400).toNanos();
 
     private final VmId self;
     private final TargetTable targets;
@@ -51,6 +53,7 @@
     private final TimerService timer;
     private final DecisionLog log;
     private final Map<TargetId, TargetKeeper> keepers = new HashMap<>();
+    private final Map<TargetId, Long> deafSince = new HashMap<>();
     private boolean stopped;
 
     /**
@@ -129,7 +132,7 @@
             final Duration wait) {
         final Optional<VmId> holder = claims.holder(target.id());
         if (holder.isEmpty()) {
-            return Single.just(Hold.refused("nobody gives orders there"));
+            return Single.just(deaf(target.id(), "nobody gives orders there"));
         }
         if (holder.get().equals(self)) {
             return own(target.id(), adapter, version, missing, wait);
@@ -144,7 +147,30 @@
                 .build();
         return peers.call(holder.get(), FleetMethods.HOLD, ask, wait.plus(MARGIN))
                 .map(answer -> new Hold(answer.getHeld(), answer.getVersion(), answer.getReason()))
-                .onErrorReturn(error -> Hold.refused(holder.get() + ": " + error.getMessage()));
+                .doOnSuccess(hold -> noteDeaf(target.id(), hold))
+                .onErrorReturn(error -> deaf(target.id(), holder.get() + ": " + error.getMessage()));
+    }
+
+    /**
+     * Tells whether nobody could give orders to a target a moment ago.
+     *
+     * @param target the target
+     * @return true for a while after a wish was refused for that
+     */
+    public boolean deaf(final TargetId target) {
+        final Long since = deafSince.get(target);
+        return since != null && timer.nanoTime() - since < DEAF_NANOS;
+    }
+
+    private Hold deaf(final TargetId target, final String reason) {
+        deafSince.put(target, timer.nanoTime());
+        return Hold.refused(reason);
+    }
+
+    private void noteDeaf(final TargetId target, final Hold hold) {
+        if (hold.reason().equals(NO_RIGHT)) {
+            deafSince.put(target, timer.nanoTime());
+        }
     }
 
     /**
@@ -181,7 +207,8 @@
             final Duration wait) {
         final TargetKeeper keeper = keepers.get(target);
         if (keeper == null) {
-            return Single.just(Hold.refused("no right to give orders"));
+            deafSince.put(target, timer.nanoTime());
+            return Single.just(Hold.refused(NO_RIGHT));
         }
         return keeper.ensure(adapter, version, missing, wait);
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
@@ -30,7 +30,7 @@
     private static final Duration POLL = Duration.ofMillis(25);
     private static final Duration AGAIN = Duration.ofMillis(60);
     private static final Duration REPORT_LAG = Duration.ofMillis(400);
-    private static final Duration GRANT_HOLDS = Duration.ofMillis(700);
+    private static final Duration GRANT_HOLDS = Duration.ofMillis(450);
     private static final Duration MODEL_RETRY = Duration.ofMillis(500);
     private static final Duration REPORT_EVERY = Duration.ofMillis(2_000);
     private static final int MAX_WAITING = 64;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
@@ -19,9 +19,11 @@
  * <p>A watch whose history is gone is replaced by a list. Confined to the decision loop.
  */
 public final class ReplicaReader implements Part {
-    /** The prefix that all keys have. */
-    static final String ALL = "";
+    /** How long a watch may let changes collect before it asks again. */
+    public static final Duration WATCH_PAUSE = Duration.ofMillis(450);
 
+    private static final String ALL = "";
+    private static final String PROBE = "serving/probe";
     private static final Duration RETRY = Duration.ofMillis(250);
     private static final Duration ASK_PEERS = Duration.ofMillis(400);
 
@@ -84,8 +86,7 @@
         return lost;
     }
 
-    /** Notes that the service has answered. */
-    public void heard() {
+    private void heard() {
         if (!lost) {
             return;
         }
@@ -100,7 +101,7 @@
     }
 
     private Completable listAndWatch() {
-        final Completable listed = replica.revision() > 0 ? Completable.complete() : list();
+        final Completable listed = replica.revision() == 0 ? list() : lost ? probe() : Completable.complete();
         return listed.andThen(Flowable.defer(() -> store.watch(ALL, replica.revision())))
                 .doOnNext(this::watched)
                 .ignoreElements()
@@ -108,6 +109,10 @@
                 .repeat();
     }
 
+    private Completable probe() {
+        return store.read(PROBE).doOnSuccess(entry -> heard()).ignoreElement();
+    }
+
     private Completable list() {
         return store.list(ALL)
                 .doOnSuccess(snapshot -> {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -165,8 +165,8 @@
             giveUp("tries used up");
             return;
         }
-        final Wanted wanted =
-                new Wanted(service, call.model(), call.adapter(), call.promptTokens(), call.outputTokens());
+        final Wanted wanted = new Wanted(
+                service, call.model(), call.adapter(), call.promptTokens(), call.outputTokens(), objectiveLeft());
         final Optional<Choice> chosen = parts.chooser().choose(wanted, excluded);
         if (chosen.isEmpty()) {
             giveUp("no target");
@@ -188,6 +188,13 @@
         send(OptionalLong.empty());
     }
 
+    private long objectiveLeft() {
+        if (route.targetLatencyMillis() <= 0) {
+            return 0;
+        }
+        return Math.max(1, route.targetLatencyMillis() - millisSince(call.arrivedNanos()));
+    }
+
     private boolean stillAllowed() {
         final Optional<ServingPlan> current = parts.plans().current();
         if (current.isEmpty() || current.get() == plan) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -142,11 +142,6 @@
                 .subscribeOn(timer.scheduler());
     }
 
-    /** Notes that the key-value service has answered. */
-    public void storeHeard() {
-        core.storeHeard();
-    }
-
     private boolean served(final Duration since) {
         return callers.running() == 0 || since.compareTo(settings.grace().minus(STOP_MARGIN)) >= 0;
     }
