--- /dev/null
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
@@ -0,0 +1,66 @@
+package org.balsambank.core.serving;
+
+import java.util.OptionalInt;
+
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.id.VmId;
+import org.balsambank.core.serving.request.AnswerHead;
+import org.balsambank.core.serving.request.AttemptEnd;
+import org.balsambank.core.serving.request.AttemptListener;
+import org.balsambank.core.serving.request.Outgoing;
+import org.balsambank.core.serving.request.TargetSender;
+
+/**
+ * A send that a test answers.
+ *
+ * <p>Confined to one thread.
+ */
+final class FakeSend implements TargetSender.Send {
+    final VmId from;
+    final Outgoing outgoing;
+    boolean cancelled;
+    private final AttemptListener listener;
+
+    FakeSend(final VmId from, final Outgoing outgoing, final AttemptListener listener) {
+        this.from = from;
+        this.outgoing = outgoing;
+        this.listener = listener;
+    }
+
+    TargetId target() {
+        return outgoing.target().id();
+    }
+
+    /** Answers whole; returns whether the answer went to the caller. */
+    boolean answer(final int status, final boolean notRun) {
+        final boolean passed =
+                listener.head(new AnswerHead(status, notRun, !notRun, false, OptionalInt.empty(), OptionalInt.empty()));
+        listener.firstPiece();
+        listener.ended(AttemptEnd.COMPLETE);
+        return passed;
+    }
+
+    /** Answers with a success that no target has sealed; returns whether it went to the caller. */
+    boolean answerWithoutSeal() {
+        final boolean passed =
+                listener.head(new AnswerHead(200, false, false, false, OptionalInt.empty(), OptionalInt.empty()));
+        listener.firstPiece();
+        listener.ended(AttemptEnd.COMPLETE);
+        return passed;
+    }
+
+    /** Begins a good answer. */
+    void begin() {
+        listener.head(new AnswerHead(200, false, true, false, OptionalInt.empty(), OptionalInt.empty()));
+        listener.firstPiece();
+    }
+
+    void end(final AttemptEnd how) {
+        listener.ended(how);
+    }
+
+    @Override
+    public void cancel() {
+        cancelled = true;
+    }
+}
