--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
@@ -27,7 +27,9 @@
  */
 public final class TargetKeeper {
     private static final int MAX_PENDING = 4;
-    private static final Duration POLL = Duration.ofMillis(25);
+    private static final Duration POLL = Duration.ofMillis(30);
+    private static final Duration COPY_AT_HAND = Duration.ofMillis(30);
+    private static final Duration FROM_STORE = Duration.ofMillis(240);
     private static final Duration AGAIN = Duration.ofMillis(60);
     private static final Duration REPORT_LAG = Duration.ofMillis(400);
     private static final Duration GRANT_HOLDS = Duration.ofMillis(450);
@@ -226,6 +228,7 @@
     private void give(final Order order) {
         final AdapterKey adapter = order.adapter().orElseThrow();
         final boolean poll = order.load() && ledger.pending().containsKey(adapter);
+        final Duration expected = holdings.heldLately(target.id(), adapter) ? COPY_AT_HAND : FROM_STORE;
         ordering = true;
         orders.give(target, order).subscribe(result -> {
             ordering = false;
@@ -234,7 +237,7 @@
                 note(order, result);
             }
             ledger.answered(order, result);
-            polls.put(adapter, answeredNanos + POLL.toNanos());
+            polls.put(adapter, answeredNanos + (poll ? POLL : expected).toNanos());
             answered(order, adapter, result);
             step();
         });
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -37,7 +37,8 @@
     private static final long EARLY_NANOS = Duration.ofMillis(15).toNanos();
     private static final double HOPELESS_OBJECTIVES = 3.6;
     private static final double DEADLINE_PART = 0.9;
-    private static final Duration LOAD_WAIT = Duration.ofMillis(1_500);
+    private static final long LOAD_WAIT_MILLIS = 1_000;
+    private static final long LOAD_WAITS_MILLIS = 2_200;
     private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
 
     private final RunParts parts;
@@ -61,6 +62,7 @@
     private int sends;
     private int runs;
     private int choices;
+    private long loadWaitedMillis;
     private boolean mayHaveRun;
     private boolean answering;
     private boolean ended;
@@ -219,13 +221,15 @@
         final TargetEntry target = choice.target();
         final boolean wasMissing = missing.isPresent();
         missing = Optional.empty();
-        final Duration left =
-                Duration.ofNanos(Math.max(0, deadlineNanos - parts.timer().nanoTime()));
-        final Duration wait = left.compareTo(LOAD_WAIT) < 0 ? left : LOAD_WAIT;
+        final long wait = Math.min(LOAD_WAIT_MILLIS, LOAD_WAITS_MILLIS - loadWaitedMillis);
+        if (wait <= 0) {
+            giveUp("waits for adapters used up");
+            return;
+        }
         final long version = parts.holdings().newest(adapter);
         final long sinceNanos = parts.timer().nanoTime();
         holding = parts.placement()
-                .ensure(target, adapter, version, wasMissing, wait)
+                .ensure(target, adapter, version, wasMissing, Duration.ofMillis(wait))
                 .subscribe(hold -> loaded(hold, adapter, sinceNanos));
     }
 
@@ -233,6 +237,7 @@
         if (ended) {
             return;
         }
+        loadWaitedMillis += millisSince(sinceNanos);
         line("adapter_wait")
                 .with("target", choice.target().id().value())
                 .with("adapter", adapter.toString())
