--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
@@ -26,9 +26,9 @@
  * Claims the right to give orders to targets: one key each, written under the lease of this VM if nobody has it.
  *
  * <p>All VMs order the registered ones by rendezvous hashing; the first claims at once, each further one waits its
- * turn, so that a first one that can't reach the service is no obstacle. A VM that has started again replaces the claims
- * of its run before. The revision of the key is the fencing number.
- * Invariant: a claim counts only while the lease under which it was written lasts. Confined to the decision loop.
+ * turn, so that a first one that can't reach the service is no obstacle. A VM that has started again replaces the
+ * claims of its run before. The revision of the key is the fencing number. Invariant: a claim counts only while the
+ * lease under which it was written lasts. Confined to the decision loop.
  */
 public final class TargetClaims {
     private static final long TURN_NANOS = Duration.ofMillis(1_200).toNanos();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -182,7 +182,7 @@
         shared.ended();
         exchange = null;
         releaseBody();
-        if (!keep) {
+        if (!keep || shared.stopping()) {
             closeGently();
             return;
         }
