Add the command story: what logs say of one request

Reads logs on standard input, prints the request's own lines and what happened meanwhile to the targets that it met.

--- a/balsambank-cli/src/main/java/org/balsambank/cli/Main.java
+++ b/balsambank-cli/src/main/java/org/balsambank/cli/Main.java
@@ -22,6 +22,7 @@
             ApplyCommand.class,
             StatusCommand.class,
             RequestCommand.class,
+            StoryCommand.class,
             VersionCommand.class
         },
         groups = {
