Answer a body nested too deeply with 400

Cause: the parser's error for depth has no location, and making its message failed: 500 internal with ran unknown. Change: the message names a place only if there is one. The test fails without it (HTTP/1.1 500).

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -129,13 +130,17 @@
         return "POST";
     }
 
+    private static String place(final JsonProcessingException error) {
+        final JsonLocation location = error.getLocation();
+        return location == null ? "" : ": line " + location.getLineNr() + ", column " + location.getColumnNr();
+    }
+
     private static JsonNode object(final Buffer body) throws BalsambankException {
         final JsonNode json;
         try {
             json = MAPPER.readTree(body.getBytes());
         } catch (final JsonProcessingException e) {
-            throw malformed("the body is not JSON: line " + e.getLocation().getLineNr() + ", column "
-                    + e.getLocation().getColumnNr());
+            throw malformed("the body is not JSON" + place(e));
         } catch (final IOException e) {
             throw malformed("the body is not JSON");
         }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
@@ -118,6 +118,7 @@
     void refusesMalformedRequests() throws IOException {
         assertRefused(ErrorKind.MALFORMED_REQUEST, post("/v1/completions", "", "{\"model\":"));
         assertRefused(ErrorKind.MALFORMED_REQUEST, post("/v1/completions", "", "[]"));
+        assertRefused(ErrorKind.MALFORMED_REQUEST, post("/v1/completions", "", "[".repeat(BODY_BYTES)));
         assertRefused(ErrorKind.MALFORMED_REQUEST, post("/v1/completions", "", "{\"prompt\":\"x\"}"));
         assertRefused(
                 ErrorKind.MALFORMED_REQUEST,
