--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -29,7 +29,7 @@
 public final class ServingDaemon {
     private static final Duration ADDRESSES = Duration.ofMillis(100);
     private static final Duration BALANCER_NOTICES = Duration.ofMillis(2_700);
-    private static final Duration STOP_MARGIN = Duration.ofMillis(900);
+    private static final Duration STOP_MARGIN = Duration.ofMillis(1_250);
     private static final Duration STOP_CHECK = Duration.ofMillis(100);
     private static final Duration LAST_ANSWERS = Duration.ofMillis(250);
 
