--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -130,7 +130,7 @@
                 log);
         final TeamBuckets buckets = new TeamBuckets(timer, members, settings.rateSlack());
         final LossBook losses = new LossBook(timer);
-        final ColdShare cold = new ColdShare(timer, members);
+        final ColdShare cold = new ColdShare(timer, members, settings.coldOverage(), settings.coldSlack());
         final TargetChooser chooser =
                 new TargetChooser(targets, flights, holdings, placement, paces, cold, settings.domain(), timer, random);
         reader = new ReplicaReader(store, replica, new PeerEntries(peers, members, replica, random), this, timer, log);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/ColdShare.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/ColdShare.java
@@ -22,6 +22,8 @@
 
     private final TimerService timer;
     private final FleetShare fleet;
+    private final double overage;
+    private final double slack;
     private final Map<TargetId, Deque<Long>> sends = new HashMap<>();
 
     /**
@@ -29,21 +31,25 @@
      *
      * @param timer gives the time
      * @param fleet tells how many VMs share the limit
+     * @param overage how far the requests of a second may exceed what a target says that it bears, as a factor
+     * @param slack how many more requests it bears
      */
-    public ColdShare(final TimerService timer, final FleetShare fleet) {
+    public ColdShare(final TimerService timer, final FleetShare fleet, final double overage, final double slack) {
         this.timer = Objects.requireNonNull(timer);
         this.fleet = Objects.requireNonNull(fleet);
+        this.overage = overage;
+        this.slack = slack;
     }
 
     /**
      * Tells whether a cold target may get one more request from this VM.
      *
      * @param target the target
-     * @param perSecond what it bears from all VMs
+     * @param perSecond what it says that it bears from all VMs
      * @return true if the part of this VM is not used up
      */
     public boolean allows(final TargetId target, final double perSecond) {
-        final int part = (int) Math.floor(perSecond / Math.max(1, fleet.vms()));
+        final int part = (int) Math.floor((perSecond * overage + slack) / Math.max(1, fleet.vms()));
         return recent(target).size() < part;
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
@@ -33,6 +33,9 @@
 
     /** Answers whole; returns whether the answer went to the caller. */
     boolean answer(final int status, final boolean notRun) {
+        if (cancelled) {
+            return false;
+        }
         final boolean passed =
                 listener.head(new AnswerHead(status, notRun, !notRun, false, OptionalInt.empty(), OptionalInt.empty()));
         listener.firstPiece();
--- /dev/null
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/admission/AdmissionTest.java
@@ -0,0 +1,151 @@
+package org.balsambank.core.serving.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import org.balsambank.core.catalogue.RateLimit;
+import org.balsambank.core.catalogue.RateUnit;
+import org.balsambank.core.id.TargetId;
+import org.balsambank.core.id.TeamId;
+import org.balsambank.core.id.VmId;
+import org.balsambank.core.serving.plan.TeamSpec;
+import org.balsambank.core.time.SchedulerTimerService;
+import org.balsambank.core.time.TimerService;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests the limits that VMs share, in virtual time. Confined to one thread. */
+final class AdmissionTest {
+    private static final int VMS = 7;
+    private static final int WINDOW_SECONDS = 8;
+    private static final double RATE = 10_000;
+    private static final RateSlack SLACK = new RateSlack(0.1, 17_000);
+
+    private final TestScheduler clock = new TestScheduler();
+    private final TimerService timer = SchedulerTimerService.ofVirtual(clock);
+
+    @Test
+    void oneTeamAtManyTimesItsUsualStaysWithinTheSlackInEachWindow() {
+        final List<TeamBuckets> vms = new ArrayList<>();
+        for (int i = 0; i < VMS; i++) {
+            vms.add(new TeamBuckets(timer, share(VMS, VMS), SLACK));
+        }
+        final SplittableRandom random = new SplittableRandom(1);
+        final List<Double> bySecond = new ArrayList<>();
+        for (int second = 0; second < 40; second++) {
+            double admitted = 0;
+            for (int tick = 0; tick < 100; tick++) {
+                final double units = 200 + random.nextInt(4_000);
+                final TeamBuckets vm = vms.get(random.nextInt(VMS));
+                admitted += vm.admit(team(RATE), units).isEmpty() ? units : 0;
+                clock.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+                if (tick % 20 == 0) {
+                    tell(vms);
+                }
+            }
+            bySecond.add(admitted);
+        }
+        for (int from = 0; from + WINDOW_SECONDS <= bySecond.size(); from++) {
+            final double window = bySecond.subList(from, from + WINDOW_SECONDS).stream()
+                    .mapToDouble(each -> each)
+                    .sum();
+            assertTrue(window <= (RATE * WINDOW_SECONDS + RATE) * 1.1 + 17_000, "units " + window);
+        }
+        final double all = bySecond.stream().mapToDouble(each -> each).sum();
+        assertTrue(all >= RATE * bySecond.size(), "units " + all);
+    }
+
+    @Test
+    void aVmThatHearsNobodyUsesItsPartOnly() {
+        final TeamBuckets alone = new TeamBuckets(timer, share(VMS, 1), new RateSlack(0, 0));
+        double admitted = 0;
+        for (int tick = 0; tick < 2_000; tick++) {
+            admitted += alone.admit(team(RATE), 500).isEmpty() ? 500 : 0;
+            clock.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        }
+        final double part = RATE / VMS * 20;
+        assertTrue(admitted <= part + RATE / VMS + 500, "units " + admitted);
+        assertTrue(admitted >= part * 0.95, "units " + admitted);
+    }
+
+    @Test
+    void aLowerLimitBindsAtOnceAndUnitsOfARefusedRequestComeBack() {
+        final TeamBuckets buckets = new TeamBuckets(timer, share(1, 1), new RateSlack(0, 0));
+        clock.advanceTimeBy(2, TimeUnit.SECONDS);
+        assertTrue(buckets.admit(team(RATE), 1).isEmpty());
+        clock.advanceTimeBy(2, TimeUnit.SECONDS);
+        assertTrue(buckets.admit(team(100), 150).isEmpty());
+        assertFalse(buckets.admit(team(100), 10).isEmpty());
+        buckets.giveBack(team(100), 150);
+        assertTrue(buckets.admit(team(100), 10).isEmpty());
+    }
+
+    @Test
+    void targetsThatComeBackColdGetWhatTheyBearFromAllVmsTogether() {
+        final double perSecond = 8.2;
+        final double bound = perSecond * 1.5 + 5;
+        final List<ColdShare> vms = new ArrayList<>();
+        for (int i = 0; i < VMS; i++) {
+            vms.add(new ColdShare(timer, share(VMS, VMS), 1.5, 5));
+        }
+        final TargetId target = new TargetId("t");
+        final List<Long> sends = new ArrayList<>();
+        for (int tick = 0; tick < 300; tick++) {
+            for (final ColdShare vm : vms) {
+                if (vm.allows(target, perSecond)) {
+                    vm.sent(target);
+                    sends.add(timer.nanoTime());
+                }
+            }
+            clock.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        }
+        for (final long from : sends) {
+            final long within = sends.stream()
+                    .filter(at ->
+                            at >= from && at - from <= Duration.ofSeconds(1).toNanos())
+                    .count();
+            assertTrue(within <= bound, "sends " + within);
+        }
+        assertEquals(VMS * 2 * 3, sends.size());
+    }
+
+    private static void tell(final List<TeamBuckets> vms) {
+        for (int from = 0; from < vms.size(); from++) {
+            final VmId vm = new VmId("vm" + from);
+            final TeamBuckets teller = vms.get(from);
+            vms.stream().filter(each -> each != teller).forEach(each -> teller.totals()
+                    .forEach((team, units) -> each.peer(vm, team, units)));
+        }
+    }
+
+    private static TeamSpec team(final double rate) {
+        return new TeamSpec(
+                new TeamId("team"),
+                List.of("key"),
+                Optional.empty(),
+                Optional.of(new RateLimit(RateUnit.TOKENS, rate, rate)),
+                200);
+    }
+
+    private static FleetShare share(final int vms, final int heard) {
+        return new FleetShare() {
+            @Override
+            public int vms() {
+                return vms;
+            }
+
+            @Override
+            public int heard() {
+                return heard;
+            }
+        };
+    }
+}
