--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
@@ -45,7 +46,7 @@
     private final TargetTable targets;
     private final TargetClaims claims;
     private final Function<ServiceName, Optional<EngineSpec>> engines;
-    private final java.util.function.Supplier<List<VmId>> vms;
+    private final Supplier<List<VmId>> vms;
     private final TargetOrders orders;
     private final FlightBook flights;
     private final HoldingBook holdings;
@@ -76,7 +77,7 @@
             final TargetTable targets,
             final TargetClaims claims,
             final Function<ServiceName, Optional<EngineSpec>> engines,
-            final java.util.function.Supplier<List<VmId>> vms,
+            final Supplier<List<VmId>> vms,
             final TargetOrders orders,
             final FlightBook flights,
             final HoldingBook holdings,
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/plan/Route.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/plan/Route.java
@@ -40,15 +40,6 @@
         services = List.copyOf(services);
     }
 
-    /**
-     * Tells whether a request may run more than once.
-     *
-     * @return true for safe requests and for streams that may be resumed
-     */
-    public boolean repeatable() {
-        return rule == RunRule.SAFE || resumable;
-    }
-
     /**
      * Chooses a service by the weights.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryReplica.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryReplica.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import com.google.protobuf.ByteString;
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.KeyValueEntry;
 import org.balsambank.core.port.KeyValueSnapshot;
@@ -100,17 +99,6 @@
                 .toList();
     }
 
-    /**
-     * Returns the value of a key.
-     *
-     * @param key the key
-     * @return its value, if it exists
-     */
-    public Optional<ByteString> value(final String key) {
-        final KeyValueChange known = entries.get(key);
-        return known == null ? Optional.empty() : known.value();
-    }
-
     private void add(final List<KeyValueChange> changes, final KeyValueChange change) {
         if (apply(change)) {
             changes.add(change);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/AnswerHead.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/AnswerHead.java
@@ -1,7 +1,5 @@
 package org.balsambank.core.serving.request;
 
-import java.util.OptionalInt;
-
 /**
  * The head of a target's answer, as far as decisions need it.
  *
@@ -11,11 +9,8 @@
  * @param notRun whether the target says that the request has not run
  * @param sealed whether the answer has the target's seal
  * @param encoded whether the body has an encoding, which no target applies
- * @param running the requests that the target runs, if it tells
- * @param waiting the requests that wait there, if it tells
  */
-public record AnswerHead(
-        int status, boolean notRun, boolean sealed, boolean encoded, OptionalInt running, OptionalInt waiting) {
+public record AnswerHead(int status, boolean notRun, boolean sealed, boolean encoded) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
@@ -103,23 +103,6 @@
         regainedNanos = timer.nanoTime();
     }
 
-    /**
-     * A target tells that it bears little.
-     *
-     * @param id the target
-     * @param coldMillis for how much longer
-     */
-    public void cold(final TargetId id, final long coldMillis) {
-        final TargetBelief known = beliefs.get(id);
-        if (known == null) {
-            return;
-        }
-        final long until = timer.nanoTime() + Duration.ofMillis(coldMillis).toNanos();
-        beliefs.put(
-                id,
-                new TargetBelief(known.entry(), known.revision(), known.learnedNanos(), until, known.goneAtNanos()));
-    }
-
     /**
      * Takes a failure domain out, or back in.
      *
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
@@ -1,7 +1,5 @@
 package org.balsambank.core.serving;
 
-import java.util.OptionalInt;
-
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.request.AnswerHead;
@@ -36,8 +34,7 @@
         if (cancelled) {
             return false;
         }
-        final boolean passed =
-                listener.head(new AnswerHead(status, notRun, !notRun, false, OptionalInt.empty(), OptionalInt.empty()));
+        final boolean passed = listener.head(new AnswerHead(status, notRun, !notRun, false));
         listener.firstPiece();
         listener.ended(AttemptEnd.COMPLETE);
         return passed;
@@ -45,8 +42,7 @@
 
     /** Answers with a success that no target has sealed; returns whether it went to the caller. */
     boolean answerWithoutSeal() {
-        final boolean passed =
-                listener.head(new AnswerHead(200, false, false, false, OptionalInt.empty(), OptionalInt.empty()));
+        final boolean passed = listener.head(new AnswerHead(200, false, false, false));
         listener.firstPiece();
         listener.ended(AttemptEnd.COMPLETE);
         return passed;
@@ -54,7 +50,7 @@
 
     /** Begins a good answer. */
     void begin() {
-        listener.head(new AnswerHead(200, false, true, false, OptionalInt.empty(), OptionalInt.empty()));
+        listener.head(new AnswerHead(200, false, true, false));
         listener.firstPiece();
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 
@@ -117,7 +118,7 @@
     }
 
     private void head(final HttpResponse head) {
-        informational = head.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL;
+        informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informational) {
             reusable &= head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
             return;
