Answer a request whose key is withdrawn while it waits; owe nothing for what others admitted during a cut

Cause 2: a VM that was cut off takes in, once the others are heard again, all that they admitted meanwhile as its own debt. Each side had used its own part of the rate only, so nothing is owed: what a silent VM had told is forgotten. Cause 3, found by the test of the second: a VM whose lease ends while it is cut off serves on with its part, and the others share the whole rate at once: 189,600 units in 6 s at a rate of 20,000. A VM that has gone keeps its part for 10 s. Ruled out: the first fill of the buckets and the times at which callers come back (the refusals stop at the same moment on both VMs, whatever the team). Logs: `ended` has the units, `send_ended` the longest pause, `sent` the adapter, `team_limit` each limit that changes.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/PlanBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/PlanBook.java
@@ -1,11 +1,16 @@
 package org.balsambank.core.serving;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
+import org.balsambank.core.catalogue.RateLimit;
+import org.balsambank.core.id.TeamId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.plan.ServingPlan;
+import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.time.TimerService;
 
 /**
@@ -16,6 +21,7 @@
 public final class PlanBook {
     private final TimerService timer;
     private final DecisionLog log;
+    private final Map<TeamId, RateLimit> limits = new HashMap<>();
     private ServingPlan plan;
     private long revision;
     private long learnedNanos;
@@ -48,6 +54,25 @@
                 .with("version", newer.version())
                 .with("revision", atRevision)
                 .write();
+        noteLimits();
+    }
+
+    private void noteLimits() {
+        final Map<TeamId, RateLimit> before = Map.copyOf(limits);
+        limits.clear();
+        for (final TeamSpec team : plan.teams()) {
+            team.limit().ifPresent(limit -> limits.put(team.id(), limit));
+        }
+        limits.forEach((team, limit) -> {
+            if (!limit.equals(before.get(team))) {
+                log.line("team_limit")
+                        .with("team", team.value())
+                        .with("unit", limit.unit().name())
+                        .with("per_second", Math.round(limit.perSecond()))
+                        .with("burst", Math.round(limit.burst()))
+                        .write();
+            }
+        });
     }
 
     /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
@@ -16,9 +16,10 @@
  * Keeps each team to the rate that it bought, over all VMs together.
  *
  * <p>Each VM keeps a bucket for the whole fleet and takes from it what it admits at once and what others admit as soon
- * as they tell. What becomes known late turns the level negative and is paid back before more is admitted. A VM that
- * does not hear some of the others uses only the share of those that it hears. Answers the load pattern of one team
- * that sends many times its usual through all VMs at once. Confined to the decision loop.
+ * as they tell. What they have not told yet counts as what this VM has just admitted, once for each of them. What
+ * becomes known late turns the level negative and is paid back before more is admitted. A VM that does not hear some
+ * of the others uses only the share of those that it hears. Answers the load pattern of one team that sends many times
+ * its usual through all VMs at once. Confined to the decision loop.
  */
 public final class TeamBuckets {
     private static final double FIRST_FILL = 0.25;
@@ -30,6 +31,7 @@
     private final RateSlack slack;
     private final Map<TeamId, DebtBucket> buckets = new HashMap<>();
     private final Map<TeamId, Double> admitted = new HashMap<>();
+    private final Map<TeamId, RecentUse> recent = new HashMap<>();
     private final Map<VmId, Map<TeamId, Long>> peers = new HashMap<>();
 
     /**
@@ -57,7 +59,7 @@
             return Optional.empty();
         }
         final DebtBucket bucket = filled(team.id(), team.limit().get());
-        if (bucket.level() <= 0) {
+        if (bucket.level() - untold(team.id()) <= 0) {
             return Optional.of(untilFilled(bucket, units));
         }
         take(team.id(), bucket, units);
@@ -93,7 +95,8 @@
     }
 
     /**
-     * Forgets what another VM has told, as it has started again.
+     * Forgets what another VM has told, as it has started again or was not heard of: meanwhile each VM has used its own
+     * part only, so that nothing is owed for the part of the other.
      *
      * @param vm the other VM
      */
@@ -124,6 +127,11 @@
         return bucket;
     }
 
+    private double untold(final TeamId team) {
+        final RecentUse use = recent.get(team);
+        return use == null ? 0 : use.units(timer.nanoTime()) * (fleet.heard() - 1);
+    }
+
     private double share() {
         return Math.min(1, (double) fleet.heard() / Math.max(1, fleet.vms()));
     }
@@ -131,6 +139,7 @@
     private void take(final TeamId team, final DebtBucket bucket, final double units) {
         bucket.take(units);
         admitted.merge(team, units, Double::sum);
+        recent.computeIfAbsent(team, ignored -> new RecentUse()).add(units, timer.nanoTime());
     }
 
     private Duration untilFilled(final DebtBucket bucket, final double units) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -263,6 +263,7 @@
         for (final VmId vm : List.copyOf(received.keySet())) {
             if (!members.recent(vm)) {
                 flights.forget(vm);
+                buckets.forget(vm);
                 received.get(vm).number = 0;
             }
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -30,12 +30,14 @@
 public final class FleetMembers implements FleetShare {
     private static final long JUST_NOW_NANOS = Duration.ofMillis(900).toNanos();
     private static final long HEARD_NANOS = Duration.ofMillis(1_500).toNanos();
+    private static final long GONE_COUNTS_NANOS = Duration.ofSeconds(10).toNanos();
 
     private final VmId self;
     private final TimerService timer;
     private final DecisionLog log;
     private final Map<String, VmEntry> byKey = new TreeMap<>();
     private final Map<VmId, Long> heardNanos = new HashMap<>();
+    private final Map<VmId, Long> goneNanos = new HashMap<>();
     private final Set<VmId> withoutStore = new HashSet<>();
 
     /**
@@ -70,6 +72,7 @@
         final VmEntry before = byKey.remove(change.key());
         if (change.value().isEmpty()) {
             if (before != null) {
+                goneNanos.put(before.id(), timer.nanoTime());
                 log.line("vm_gone").with("vm", before.id().value()).write();
             }
             return;
@@ -84,6 +87,7 @@
                     member.getPeerPort(),
                     member.getStopping());
             byKey.put(change.key(), entry);
+            goneNanos.remove(vm);
             log.line("vm_registered").with("vm", vm.value()).write();
         } catch (final InvalidProtocolBufferException | IllegalArgumentException e) {
             log.line("vm_unreadable").with("key", change.key()).write();
@@ -164,9 +168,18 @@
         return all;
     }
 
+    /**
+     * Returns how many VMs share what the fleet has. A VM whose registration has ended may be cut off and serve on, so
+     * that its part is left to it for a while, and as long as it is heard of.
+     */
     @Override
     public int vms() {
-        return others().size() + 1;
+        final long now = timer.nanoTime();
+        goneNanos.entrySet().removeIf(each -> now - each.getValue() > GONE_COUNTS_NANOS && !recent(each.getKey()));
+        final Set<VmId> sharing = new HashSet<>(goneNanos.keySet());
+        others().forEach(each -> sharing.add(each.id()));
+        sharing.add(self);
+        return sharing.size();
     }
 
     @Override
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
@@ -10,8 +10,8 @@
      */
     boolean head(AnswerHead head);
 
-    /** The first piece of the body is here. */
-    void firstPiece();
+    /** A piece of the body is here. */
+    void piece();
 
     /**
      * The send has ended. Called once, unless it was cancelled.
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -51,7 +51,7 @@
     private Optional<TeamSpec> team = Optional.empty();
     private ServiceSpec service;
     private double units;
-    private boolean charged;
+    private Optional<TeamSpec> charged = Optional.empty();
     private long deadlineNanos;
     private Disposable deadline = Disposable.disposed();
     private Disposable holding = Disposable.disposed();
@@ -152,7 +152,7 @@
             refuse(ErrorKind.RATE_EXCEEDED, wait, "units " + Math.round(units));
             return false;
         }
-        charged = true;
+        charged = team;
         return true;
     }
 
@@ -278,6 +278,7 @@
                 route.rule() != RunRule.STREAM);
         line("sent")
                 .with("target", target.id().value())
+                .with("adapter", call.adapter().map(AdapterKey::toString).orElse(""))
                 .with("attempt", sends)
                 .with("estimate_ms", Math.round(choice.estimateMillis()))
                 .with("read_ms", Math.round(choice.readMillis()))
@@ -317,8 +318,8 @@
     }
 
     private void refuse(final ErrorKind kind, final Optional<Duration> retryAfter, final String why) {
-        if (charged && !mayHaveRun) {
-            parts.buckets().giveBack(team.orElseThrow(), units);
+        if (!mayHaveRun) {
+            charged.ifPresent(payer -> parts.buckets().giveBack(payer, units));
         }
         caller.refuse(kind, retryAfter);
         finish(kind.code(), why);
@@ -326,6 +327,7 @@
 
     private void finish(final String outcome, final String why) {
         ended = true;
+        endFlight();
         deadline.dispose();
         holding.dispose();
         parts.meters().outcome(outcome);
@@ -334,6 +336,7 @@
                 .with("why", why)
                 .with("route", route == null ? "" : route.name())
                 .with("team", team.map(each -> each.id().value()).orElse(""))
+                .with("units", Math.round(units))
                 .with("sends", sends)
                 .with("plan_version", plan == null ? 0 : plan.version())
                 .with("took_ms", millisSince(call.arrivedNanos()))
@@ -345,6 +348,10 @@
             send.cancel();
             send = null;
         }
+        endFlight();
+    }
+
+    private void endFlight() {
         if (flight != null) {
             flight.end();
             flight = null;
@@ -364,6 +371,8 @@
         private AnswerHead head;
         private boolean forwarded;
         private long firstPieceMillis = -1;
+        private long lastPieceNanos;
+        private long longestPauseMillis;
 
         @Override
         public boolean head(final AnswerHead received) {
@@ -379,7 +388,17 @@
         }
 
         @Override
-        public void firstPiece() {
+        public void piece() {
+            final long now = parts.timer().nanoTime();
+            if (firstPieceMillis < 0) {
+                firstPiece();
+            } else {
+                longestPauseMillis = Math.max(longestPauseMillis, millisSince(lastPieceNanos));
+            }
+            lastPieceNanos = now;
+        }
+
+        private void firstPiece() {
             flight.firstPiece();
             firstPieceMillis = millisSince(sentNanos);
             if (head == null || !head.success()) {
@@ -393,8 +412,7 @@
         @Override
         public void ended(final AttemptEnd end) {
             send = null;
-            flight.end();
-            flight = null;
+            endFlight();
             final TargetEntry target = choice.target();
             line("send_ended")
                     .with("target", target.id().value())
@@ -402,6 +420,7 @@
                     .with("status", head == null ? 0 : head.status())
                     .with("not_run", String.valueOf(head != null && notRun(head)))
                     .with("first_piece_ms", firstPieceMillis)
+                    .with("longest_pause_ms", longestPauseMillis)
                     .with("took_ms", millisSince(sentNanos))
                     .write();
             switch (end) {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeSend.java
@@ -35,7 +35,7 @@
             return false;
         }
         final boolean passed = listener.head(new AnswerHead(status, notRun, !notRun, false));
-        listener.firstPiece();
+        listener.piece();
         listener.ended(AttemptEnd.COMPLETE);
         return passed;
     }
@@ -43,7 +43,7 @@
     /** Answers with a success that no target has sealed; returns whether it went to the caller. */
     boolean answerWithoutSeal() {
         final boolean passed = listener.head(new AnswerHead(200, false, false, false));
-        listener.firstPiece();
+        listener.piece();
         listener.ended(AttemptEnd.COMPLETE);
         return passed;
     }
@@ -51,7 +51,7 @@
     /** Begins a good answer. */
     void begin() {
         listener.head(new AnswerHead(200, false, true, false));
-        listener.firstPiece();
+        listener.piece();
     }
 
     void end(final AttemptEnd how) {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/RequestRunTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/RequestRunTest.java
@@ -147,6 +147,16 @@
         assertEquals(List.of(), call("/open/").refusals);
     }
 
+    @Test
+    void aRequestWhoseKeyIsWithdrawnBetweenTwoSendsGetsItsFinalAnswerAtOnce() {
+        final FakeCaller caller = call(UNSAFE);
+        fleet.plan(2, List.of("another-key"), 1_000_000);
+        fleet.advance(1_000);
+        assertFalse(fleet.lastSend().answer(503, true));
+        assertEquals(ErrorKind.UNAUTHENTICATED, caller.refusal());
+        assertEquals(1, fleet.sends.size());
+    }
+
     @Test
     void anOlderPlanDoesNotReplaceANewerOne() {
         fleet.plan(5, List.of("another-key"), 1_000_000);
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -23,8 +23,19 @@
     private static final int VMS = 4;
     private static final int RUNNERS = 5;
 
+    private static final String PLAIN = "/unsafe/";
+    private static final int PLAIN_UNITS = 600;
+    private static final int PLAIN_TARGETS = 3;
+
     private final TestFleet fleet = new TestFleet(VMS, RUNNERS);
 
+    ServingFleetTest() {
+        for (int i = 0; i < PLAIN_TARGETS; i++) {
+            fleet.announce(fleet.plain(i, false));
+        }
+        fleet.advance(1_000);
+    }
+
     @Test
     void anyVmGetsAnAdapterLoadedByTheOneThatGivesOrders() {
         for (int i = 0; i < 12; i++) {
@@ -173,6 +184,60 @@
         assertTrue(units > rate * seconds * 0.9, "units " + units);
     }
 
+    /** The load pattern: a team uses its rate at the others while one VM is cut off, and goes on after the cut. */
+    @Test
+    void aVmThatWasCutOffDoesNotRefuseForWhatTheOthersAdmittedMeanwhile() {
+        final double rate = 20_000;
+        final VmId cut = TestFleet.vm(VMS - 1);
+        fleet.plan(2, List.of(TestFleet.KEY), rate);
+        plainAtOthers(2_000);
+        fleet.network.cutOff(cut, true);
+        fleet.service.cutOff(cut, true);
+        plainAtOthers(8_000);
+        fleet.network.cutOff(cut, false);
+        fleet.service.cutOff(cut, false);
+        fleet.advance(3_000);
+        final FakeCaller caller = fleet.call(cut, PLAIN, Optional.empty(), 100);
+        assertEquals(List.of(), caller.refusals);
+    }
+
+    /** The load pattern: one team sends many times its rate while some VMs are cut off for longer than their leases. */
+    @Test
+    void aTeamGetsNoMoreThanItsRateWhileVmsThatAreCutOffGoOnServing() {
+        final double rate = 20_000;
+        fleet.plan(2, List.of(TestFleet.KEY), rate);
+        plainAtAll(2_000);
+        for (int vm = VMS - 2; vm < VMS; vm++) {
+            fleet.network.cutOff(TestFleet.vm(vm), true);
+            fleet.service.cutOff(TestFleet.vm(vm), true);
+        }
+        plainAtAll(4_000);
+        final int before = fleet.sends.size();
+        final int seconds = 6;
+        plainAtAll(1_000 * seconds);
+        final double units = (fleet.sends.size() - before) * PLAIN_UNITS;
+        assertTrue(units < rate * seconds * 1.1, "units " + units);
+    }
+
+    private void plainAtOthers(final int millis) {
+        plainAt(VMS - 1, millis);
+    }
+
+    private void plainAtAll(final int millis) {
+        plainAt(VMS, millis);
+    }
+
+    private void plainAt(final int vms, final int millis) {
+        for (int tick = 0; tick < millis / 10; tick++) {
+            final int sent = fleet.sends.size();
+            fleet.call(TestFleet.vm(tick % vms), PLAIN, Optional.empty(), PLAIN_UNITS - 10);
+            if (fleet.sends.size() > sent) {
+                fleet.lastSend().answer(200, false);
+            }
+            fleet.advance(10);
+        }
+    }
+
     @Test
     void aLapsedAnnouncementCountsForAWhileAfterAnOutageAndThenNoMore() {
         fleet.service.out(true);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetSend.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetSend.java
@@ -216,9 +216,9 @@
     }
 
     private void pass(final ByteBuf piece, final boolean last) {
-        if (!pieceSeen && (piece.isReadable() || last)) {
+        if (piece.isReadable() || last && !pieceSeen) {
             pieceSeen = true;
-            listener.firstPiece();
+            listener.piece();
         }
         if (!accepted) {
             piece.release();
