Send prompts to a target as it reads them

Cause: a target reads all prompt tokens that it has, up to some 8,000, in one step, and an event of a stream takes two steps. Change: ReadPacing: a request takes its place at its target at once, so that all estimates count it, and is sent when the target has at most 3,600 tokens to read; what is believed of plan, target and cold targets is asked again then. ChoiceLoadTest: its targets read a prompt before the answer ends now, as targets do; its bounds are unchanged.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/FirstPieceEstimate.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/FirstPieceEstimate.java
@@ -9,7 +9,9 @@
  * be read, not the number of requests. Stateless and thread-safe.
  */
 public final class FirstPieceEstimate {
-    private static final double TOKENS_READ_PER_MILLI = 19.2;
+    /** The prompt tokens that a target reads in a millisecond. */
+    static final double TOKENS_READ_PER_MILLI = 19.2;
+
     private static final double STEP_MILLIS = 12;
     private static final double STEP_MILLIS_PER_REQUEST = 0.4;
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -18,6 +18,7 @@
 import org.balsambank.core.serving.placement.HoldingBook;
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.plan.ServiceSpec;
 import org.balsambank.core.serving.target.FlightBook;
 import org.balsambank.core.serving.target.PaceBook;
 import org.balsambank.core.serving.target.TargetBelief;
@@ -95,7 +96,7 @@
         final long now = timer.nanoTime();
         final List<TargetBelief> candidates = new ArrayList<>();
         for (final TargetBelief belief : targets.usable(wanted.service().name())) {
-            if (!excluded.contains(belief.entry().id()) && bears(wanted, belief, now)) {
+            if (!excluded.contains(belief.entry().id()) && bears(wanted.service(), belief, now)) {
                 candidates.add(belief);
             }
         }
@@ -105,8 +106,22 @@
         return engine(wanted, candidates, wanted.service().engine().get());
     }
 
-    private boolean bears(final Wanted wanted, final TargetBelief belief, final long now) {
-        final double perSecond = wanted.service().coldPerSecond();
+    /**
+     * Tells whether a target that was chosen a moment ago may still get a request.
+     *
+     * @param service the service of the request
+     * @param target the target
+     * @return false if it may get nothing, or is cold and has got what it bears
+     */
+    public boolean takes(final ServiceSpec service, final TargetId target) {
+        return targets.usable(target)
+                && targets.find(target)
+                        .filter(belief -> bears(service, belief, timer.nanoTime()))
+                        .isPresent();
+    }
+
+    private boolean bears(final ServiceSpec service, final TargetBelief belief, final long now) {
+        final double perSecond = service.coldPerSecond();
         return perSecond <= 0 || !belief.cold(now) || cold.allows(belief.entry().id(), perSecond);
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -12,6 +12,7 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.choice.Choice;
+import org.balsambank.core.serving.choice.ReadPacing;
 import org.balsambank.core.serving.choice.Wanted;
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.Hold;
@@ -63,6 +64,7 @@
     private int runs;
     private int choices;
     private long loadWaitedMillis;
+    private long pacedMillis;
     private boolean mayHaveRun;
     private boolean answering;
     private boolean ended;
@@ -187,7 +189,7 @@
             load();
             return;
         }
-        send(OptionalLong.empty());
+        place(OptionalLong.empty());
     }
 
     private long objectiveLeft() {
@@ -253,7 +255,35 @@
         if (!stillAllowed()) {
             return;
         }
-        send(hold.version() > 0 ? OptionalLong.of(hold.version()) : OptionalLong.empty());
+        place(hold.version() > 0 ? OptionalLong.of(hold.version()) : OptionalLong.empty());
+    }
+
+    /** Takes its place at the target, and sends once the target has few enough tokens to read. */
+    private void place(final OptionalLong loadedVersion) {
+        final TargetId target = choice.target().id();
+        final Duration wait = service.engine().isEmpty()
+                ? Duration.ZERO
+                : ReadPacing.wait(parts.flights().total(target), call.promptTokens());
+        flight = parts.flights().begin(target, call.promptTokens(), call.adapter());
+        pacedMillis = wait.toMillis();
+        if (wait.isZero()) {
+            send(loadedVersion);
+            return;
+        }
+        holding = parts.timer().after(wait).subscribe(() -> paced(loadedVersion));
+    }
+
+    private void paced(final OptionalLong loadedVersion) {
+        if (ended || !stillAllowed()) {
+            return;
+        }
+        if (!parts.chooser().takes(service, choice.target().id())) {
+            excluded.add(choice.target().id());
+            stopSend();
+            next();
+            return;
+        }
+        send(loadedVersion);
     }
 
     private void send(final OptionalLong loadedVersion) {
@@ -268,7 +298,6 @@
         mayHaveRun = true;
         sentNanos = now;
         parts.cold().sent(target.id());
-        flight = parts.flights().begin(target.id(), call.promptTokens(), call.adapter());
         final Outgoing outgoing = new Outgoing(
                 target,
                 service.maxConnections(),
@@ -282,6 +311,7 @@
                 .with("attempt", sends)
                 .with("estimate_ms", Math.round(choice.estimateMillis()))
                 .with("read_ms", Math.round(choice.readMillis()))
+                .with("paced_ms", pacedMillis)
                 .with("plan_version", plan.version())
                 .with("plan_age_ms", parts.plans().age().toMillis())
                 .with("remaining_ms", remaining)
@@ -405,7 +435,7 @@
                 return;
             }
             final double actual = (parts.timer().nanoTime() - sentNanos) / 1e6;
-            parts.paces().firstPiece(choice.target().id(), choice.readMillis(), actual);
+            parts.paces().firstPiece(choice.target().id(), choice.readMillis() - pacedMillis, actual);
             parts.meters().firstPiece(service.name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
         }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ChoiceLoadTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ChoiceLoadTest.java
@@ -11,6 +11,7 @@
 
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.serving.placement.AdapterKey;
+import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -35,17 +36,20 @@
     void fewAdaptersAreFetchedToMoreThanOneTarget() {
         final Map<AdapterKey, Set<TargetId>> fetched = new HashMap<>();
         final Map<AdapterKey, Set<TargetId>> baseline = new HashMap<>();
+        final Deque<FakeSend> reading = new ArrayDeque<>();
         final Deque<FakeSend> running = new ArrayDeque<>();
         for (int i = 0; i < REQUESTS; i++) {
+            while (reading.size() > 1) {
+                reading.peekFirst().begin();
+                running.addLast(reading.removeFirst());
+            }
             final AdapterKey adapter = TestFleet.adapter(zipf());
             final int before = fleet.sends.size();
             fleet.call(TestFleet.vm(i % VMS), "/stream/", Optional.of(adapter), PROMPT_TOKENS);
             fleet.advance(60);
-            for (final FakeSend send : fleet.sends.subList(before, fleet.sends.size())) {
-                running.addLast(send);
-            }
-            if (running.size() > 3) {
-                running.removeFirst().answer(200, false);
+            fleet.sends.subList(before, fleet.sends.size()).forEach(reading::addLast);
+            if (running.size() > 2) {
+                running.removeFirst().end(AttemptEnd.COMPLETE);
             }
             fleet.runners.forEach((target, runner) -> runner.held()
                     .forEach(held -> fetched.computeIfAbsent(held, key -> new HashSet<>())
