--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
-import net.openhft.hashing.LongHashFunction;
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.serving.admission.ColdShare;
@@ -24,6 +23,7 @@
 import org.balsambank.core.serving.target.TargetBelief;
 import org.balsambank.core.serving.target.TargetEntry;
 import org.balsambank.core.serving.target.TargetTable;
+import org.balsambank.core.target.RendezvousHash;
 import org.balsambank.core.time.TimerService;
 
 /**
@@ -39,7 +39,6 @@
     private static final double FAR_MILLIS = 6;
     private static final double FAILURE_LOSS = 0.8;
     private static final double DEAF_LOSS = 5;
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final TargetTable targets;
     private final FlightBook flights;
@@ -147,12 +146,12 @@
     }
 
     private Optional<Choice> engine(final Wanted wanted, final List<TargetBelief> candidates, final EngineSpec spec) {
-        if (wanted.adapter().isPresent()) {
-            sortByRendezvous(candidates, wanted.adapter().get());
-        }
+        final List<TargetBelief> ordered = wanted.adapter()
+                .map(adapter -> byRendezvous(candidates, adapter))
+                .orElse(candidates);
         Choice best = null;
-        for (int rank = 0; rank < candidates.size(); rank++) {
-            final TargetEntry target = candidates.get(rank).entry();
+        for (int rank = 0; rank < ordered.size(); rank++) {
+            final TargetEntry target = ordered.get(rank).entry();
             if (wanted.model().isPresent()
                     && !holdings.holdsModel(target, wanted.model().get())) {
                 continue;
@@ -210,9 +209,19 @@
         return false;
     }
 
-    private static void sortByRendezvous(final List<TargetBelief> candidates, final AdapterKey adapter) {
-        final long subject = HASH.hashChars(adapter.toString());
-        candidates.sort(Comparator.comparingLong(belief ->
-                HASH.hashLong(subject ^ HASH.hashChars(belief.entry().id().value()))));
+    /** Orders targets so that each VM fetches an adapter at the same one first. */
+    private static List<TargetBelief> byRendezvous(final List<TargetBelief> candidates, final AdapterKey adapter) {
+        final long subject = RendezvousHash.of(adapter.toString());
+        return candidates.stream()
+                .map(belief -> new Scored(
+                        belief,
+                        RendezvousHash.score(
+                                subject, RendezvousHash.of(belief.entry().id().value()))))
+                .sorted(Comparator.comparingLong(Scored::score).reversed())
+                .map(Scored::belief)
+                .toList();
     }
+
+    /** A target with its score for one adapter. */
+    private record Scored(TargetBelief belief, long score) {}
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
@@ -13,13 +13,13 @@
 import java.util.Set;
 
 import com.google.protobuf.ByteString;
-import net.openhft.hashing.LongHashFunction;
 import org.balsambank.core.id.LeaseId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.KeyValueStore;
+import org.balsambank.core.target.RendezvousHash;
 import org.balsambank.core.time.TimerService;
 
 /**
@@ -33,7 +33,6 @@
 public final class TargetClaims {
     private static final long TURN_NANOS = Duration.ofMillis(1_200).toNanos();
     private static final long RETRY_NANOS = Duration.ofMillis(700).toNanos();
-    private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private final VmId self;
     private final KeyValueStore store;
@@ -163,9 +162,11 @@
     }
 
     private int turn(final TargetId target, final Collection<VmId> vms) {
-        final long subject = HASH.hashChars(target.value());
+        final long subject = RendezvousHash.of(target.value());
         final List<VmId> order = vms.stream()
-                .sorted(Comparator.comparingLong(vm -> HASH.hashLong(subject ^ HASH.hashChars(vm.value()))))
+                .sorted(Comparator.<VmId>comparingLong(
+                                vm -> RendezvousHash.score(subject, RendezvousHash.of(vm.value())))
+                        .reversed())
                 .toList();
         final int place = order.indexOf(self);
         return place < 0 ? order.size() : place;
--- a/balsambank-core/src/main/java/org/balsambank/core/target/RendezvousHash.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/RendezvousHash.java
@@ -3,11 +3,11 @@
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * Scores a pair of subject and target for rendezvous hashing: each VM computes the same order of targets.
+ * Scores a pair of subject and candidate for rendezvous hashing: each VM computes the same order of candidates.
  *
  * <p>Stateless and thread-safe.
  */
-final class RendezvousHash {
+public final class RendezvousHash {
     private static final LongHashFunction HASH = LongHashFunction.xx3();
 
     private RendezvousHash() {}
@@ -18,7 +18,7 @@
      * @param text the text
      * @return the hash
      */
-    static long of(final String text) {
+    public static long of(final String text) {
         return HASH.hashChars(text);
     }
 
@@ -26,10 +26,10 @@
      * Scores a pair.
      *
      * @param subject the hash of the subject
-     * @param target the hash of the target
+     * @param candidate the hash of the candidate
      * @return the score; the highest comes first
      */
-    static long score(final long subject, final long target) {
-        return HASH.hashLong(subject ^ Long.rotateLeft(target, 1));
+    public static long score(final long subject, final long candidate) {
+        return HASH.hashLong(subject ^ Long.rotateLeft(candidate, 1));
     }
 }
