--- /dev/null
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PlainDialect.java
@@ -0,0 +1,61 @@
+package org.balsambank.gateway.target;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.balsambank.core.error.ErrorKind;
+import org.balsambank.core.id.RequestId;
+import org.balsambank.core.serving.request.AnswerHead;
+import org.balsambank.core.serving.request.CallFacts;
+import org.balsambank.core.serving.request.Outgoing;
+import org.balsambank.gateway.Dialect;
+
+/** Names for tests of the way of an answer: the request is named by one header, every answer counts as sealed. */
+final class PlainDialect implements Dialect {
+    static final String ID = "Id";
+
+    @Override
+    public Optional<ErrorKind> check(final HttpRequest head) {
+        throw new UnsupportedOperationException("no callers in this test");
+    }
+
+    @Override
+    public CallFacts read(final HttpRequest head, final ByteBuf body, final long arrivedNanos) {
+        throw new UnsupportedOperationException("no callers in this test");
+    }
+
+    @Override
+    public HttpHeaders outgoing(final HttpRequest head, final Outgoing outgoing) {
+        return head.headers();
+    }
+
+    @Override
+    public AnswerHead answer(final HttpResponse head) {
+        return new AnswerHead(head.status().code(), false, true, false);
+    }
+
+    @Override
+    public boolean belongs(final HttpResponse head, final RequestId id) {
+        return id.value().equals(head.headers().get(ID));
+    }
+
+    @Override
+    public HttpHeaders incoming(final HttpResponse head) {
+        return head.headers();
+    }
+
+    @Override
+    public Optional<Duration> keepAlive(final HttpResponse head) {
+        return Optional.of(Duration.ofSeconds(30));
+    }
+
+    @Override
+    public FullHttpResponse refusal(final ErrorKind kind, final Optional<Duration> retryAfter) {
+        throw new UnsupportedOperationException("no callers in this test");
+    }
+}
