Take the look-up of a call out of RequestRun; forget targets and adapters that are gone

Change: ResolvedCall is made whole or not at all, CallRefusedException says why not; refusals are logged with the version of the plan and the route or host that they rest on. TargetTable forgets a target ten minutes after it has gone (the replica keeps older announcements out), TargetKeeper forgets adapters that its target does not hold with each report.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
@@ -340,6 +340,7 @@
     }
 
     private void reported() {
+        forgetUnused();
         for (final AdapterKey adapter : List.copyOf(wishes.keySet())) {
             final Long loaded = ledger.held().get(adapter);
             if (loaded != null && loaded >= wishes.get(adapter).version()) {
@@ -349,6 +350,14 @@
         tell();
     }
 
+    private void forgetUnused() {
+        final Set<AdapterKey> known = new HashSet<>(ledger.held().keySet());
+        known.addAll(ledger.pending().keySet());
+        known.addAll(wishes.keySet());
+        lastUse.keySet().retainAll(known);
+        polls.keySet().retainAll(known);
+    }
+
     private void tell() {
         final Set<AdapterKey> coming = new HashSet<>(ledger.pending().keySet());
         coming.addAll(wishes.keySet());
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -16,9 +16,7 @@
 import org.balsambank.core.serving.choice.Wanted;
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.Hold;
-import org.balsambank.core.serving.plan.Route;
 import org.balsambank.core.serving.plan.RunRule;
-import org.balsambank.core.serving.plan.ServiceSpec;
 import org.balsambank.core.serving.plan.ServingPlan;
 import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.serving.target.FlightBook;
@@ -47,10 +45,7 @@
     private final CallerSide caller;
     private final TargetSender sender;
     private final Set<TargetId> excluded = new HashSet<>();
-    private ServingPlan plan;
-    private Route route;
-    private Optional<TeamSpec> team = Optional.empty();
-    private ServiceSpec service;
+    private ResolvedCall resolved;
     private double units;
     private Optional<TeamSpec> charged = Optional.empty();
     private long deadlineNanos;
@@ -87,14 +82,17 @@
 
     /** Begins. */
     public void start() {
-        final Optional<ErrorKind> refusal = resolve();
-        if (refusal.isPresent()) {
-            refuse(refusal.get(), Optional.empty(), "");
+        try {
+            resolve();
+        } catch (final CallRefusedException e) {
+            refuse(e.kind(), Optional.empty(), e.getMessage());
             return;
         }
         final long now = parts.timer().nanoTime();
         final long asked = call.deadlineMillis() > 0 ? call.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
-        final long bound = route.timeoutMillis() > 0 ? Math.min(asked, route.timeoutMillis()) : asked;
+        final long bound = resolved.route().timeoutMillis() > 0
+                ? Math.min(asked, resolved.route().timeoutMillis())
+                : asked;
         deadlineNanos = call.arrivedNanos() + Duration.ofMillis(bound).toNanos() - EARLY_NANOS;
         if (parts.losses().poison(call.fingerprint())) {
             refuse(ErrorKind.POISON_REQUEST, Optional.empty(), "has cost several targets");
@@ -103,7 +101,7 @@
         if (!charge()) {
             return;
         }
-        parts.retries().request(service.name());
+        parts.retries().request(resolved.service().name());
         deadline = parts.timer()
                 .after(Duration.ofNanos(Math.max(0, deadlineNanos - now)))
                 .subscribe(this::expired);
@@ -119,42 +117,22 @@
         finish("caller_gone", "");
     }
 
-    private Optional<ErrorKind> resolve() {
-        final Optional<ServingPlan> current = parts.plans().current();
-        if (current.isEmpty()) {
-            return Optional.of(ErrorKind.ISOLATED);
-        }
-        plan = current.get();
-        final Optional<Route> found = plan.route(call.host(), call.path());
-        if (found.isEmpty()) {
-            return Optional.of(ErrorKind.UNKNOWN_ROUTE);
-        }
-        route = found.get();
-        team = call.key().flatMap(plan::teamOf);
-        if (team.isEmpty() && plan.needsKeys() && !route.open()) {
-            return Optional.of(ErrorKind.UNAUTHENTICATED);
-        }
-        final Optional<ServiceSpec> spec =
-                plan.service(route.service(parts.random().nextDouble()));
-        if (spec.isEmpty()) {
-            return Optional.of(ErrorKind.NO_TARGET);
-        }
-        service = spec.get();
-        return Optional.empty();
+    private void resolve() throws CallRefusedException {
+        resolved = ResolvedCall.of(parts.plans().current(), call, parts.random());
     }
 
     private boolean charge() {
-        if (team.isEmpty()) {
+        if (resolved.team().isEmpty()) {
             return true;
         }
-        final TeamSpec payer = team.get();
+        final TeamSpec payer = resolved.team().get();
         units = call.tokensTold() ? call.promptTokens() + call.outputTokens() : payer.plainUnits();
         final Optional<Duration> wait = parts.buckets().admit(payer, units);
         if (wait.isPresent()) {
             refuse(ErrorKind.RATE_EXCEEDED, wait, "units " + Math.round(units));
             return false;
         }
-        charged = team;
+        charged = resolved.team();
         return true;
     }
 
@@ -170,7 +148,12 @@
             return;
         }
         final Wanted wanted = new Wanted(
-                service, call.model(), call.adapter(), call.promptTokens(), call.outputTokens(), objectiveLeft());
+                resolved.service(),
+                call.model(),
+                call.adapter(),
+                call.promptTokens(),
+                call.outputTokens(),
+                objectiveLeft());
         final Optional<Choice> chosen = parts.chooser().choose(wanted, excluded);
         if (chosen.isEmpty()) {
             giveUp("no target");
@@ -180,8 +163,8 @@
         if (hopeless(choice.estimateMillis())) {
             refuse(
                     ErrorKind.OVERLOADED,
-                    Optional.of(
-                            ReturnTime.after(choice.estimateMillis() - route.targetLatencyMillis(), parts.random())),
+                    Optional.of(ReturnTime.after(
+                            choice.estimateMillis() - resolved.route().targetLatencyMillis(), parts.random())),
                     "estimate " + Math.round(choice.estimateMillis()) + " ms");
             return;
         }
@@ -193,29 +176,34 @@
     }
 
     private long objectiveLeft() {
-        if (route.targetLatencyMillis() <= 0) {
+        if (resolved.route().targetLatencyMillis() <= 0) {
             return 0;
         }
-        return Math.max(1, route.targetLatencyMillis() - millisSince(call.arrivedNanos()));
+        return Math.max(1, resolved.route().targetLatencyMillis() - millisSince(call.arrivedNanos()));
     }
 
     private boolean stillAllowed() {
         final Optional<ServingPlan> current = parts.plans().current();
-        if (current.isEmpty() || current.get() == plan) {
+        if (current.isEmpty() || current.get() == resolved.plan()) {
+            return true;
+        }
+        try {
+            resolve();
             return true;
+        } catch (final CallRefusedException e) {
+            refuse(e.kind(), Optional.empty(), "the plan has changed");
+            return false;
         }
-        final Optional<ErrorKind> refusal = resolve();
-        refusal.ifPresent(kind -> refuse(kind, Optional.empty(), "the plan has changed"));
-        return refusal.isEmpty();
     }
 
     private boolean hopeless(final double estimateMillis) {
         final double left =
                 Duration.ofNanos(deadlineNanos - parts.timer().nanoTime()).toMillis() * DEADLINE_PART;
-        if (route.rule() != RunRule.STREAM || route.targetLatencyMillis() <= 0) {
+        if (resolved.route().rule() != RunRule.STREAM || resolved.route().targetLatencyMillis() <= 0) {
             return estimateMillis > left;
         }
-        return estimateMillis > Math.min(left, HOPELESS_OBJECTIVES * route.targetLatencyMillis());
+        return estimateMillis
+                > Math.min(left, HOPELESS_OBJECTIVES * resolved.route().targetLatencyMillis());
     }
 
     private void load() {
@@ -261,7 +249,7 @@
     /** Takes its place at the target, and sends once the target has few enough tokens to read. */
     private void place(final OptionalLong loadedVersion) {
         final TargetId target = choice.target().id();
-        final Duration wait = service.engine().isEmpty()
+        final Duration wait = resolved.service().engine().isEmpty()
                 ? Duration.ZERO
                 : ReadPacing.wait(parts.flights().total(target), call.promptTokens());
         flight = parts.flights().begin(target, call.promptTokens(), call.adapter());
@@ -277,7 +265,7 @@
         if (ended || !stillAllowed()) {
             return;
         }
-        if (!parts.chooser().takes(service, choice.target().id())) {
+        if (!parts.chooser().takes(resolved.service(), choice.target().id())) {
             excluded.add(choice.target().id());
             stopSend();
             next();
@@ -300,11 +288,11 @@
         parts.cold().sent(target.id());
         final Outgoing outgoing = new Outgoing(
                 target,
-                service.maxConnections(),
-                team.map(TeamSpec::id),
+                resolved.service().maxConnections(),
+                resolved.team().map(TeamSpec::id),
                 remaining,
                 expectedVersion(target, loadedVersion),
-                route.rule() != RunRule.STREAM);
+                resolved.route().rule() != RunRule.STREAM);
         line("sent")
                 .with("target", target.id().value())
                 .with("adapter", call.adapter().map(AdapterKey::toString).orElse(""))
@@ -312,7 +300,7 @@
                 .with("estimate_ms", Math.round(choice.estimateMillis()))
                 .with("read_ms", Math.round(choice.readMillis()))
                 .with("paced_ms", pacedMillis)
-                .with("plan_version", plan.version())
+                .with("plan_version", resolved.plan().version())
                 .with("plan_age_ms", parts.plans().age().toMillis())
                 .with("remaining_ms", remaining)
                 .write();
@@ -343,7 +331,7 @@
     }
 
     private void giveUp(final String why) {
-        final double expected = choice == null ? route.targetLatencyMillis() : choice.readMillis();
+        final double expected = choice == null ? resolved.route().targetLatencyMillis() : choice.readMillis();
         refuse(ErrorKind.NO_TARGET, Optional.of(ReturnTime.after(expected, parts.random())), why);
     }
 
@@ -364,15 +352,24 @@
         line("ended")
                 .with("outcome", outcome)
                 .with("why", why)
-                .with("route", route == null ? "" : route.name())
-                .with("team", team.map(each -> each.id().value()).orElse(""))
+                .with("route", resolved == null ? "" : resolved.route().name())
+                .with(
+                        "team",
+                        resolved == null
+                                ? ""
+                                : resolved.team().map(each -> each.id().value()).orElse(""))
                 .with("units", Math.round(units))
                 .with("sends", sends)
-                .with("plan_version", plan == null ? 0 : plan.version())
+                .with("plan_version", planVersion())
                 .with("took_ms", millisSince(call.arrivedNanos()))
                 .write();
     }
 
+    private long planVersion() {
+        final Optional<ServingPlan> plan = resolved == null ? parts.plans().current() : Optional.of(resolved.plan());
+        return plan.map(ServingPlan::version).orElse(0L);
+    }
+
     private void stopSend() {
         if (send != null) {
             send.cancel();
@@ -436,7 +433,8 @@
             }
             final double actual = (parts.timer().nanoTime() - sentNanos) / 1e6;
             parts.paces().firstPiece(choice.target().id(), choice.readMillis() - pacedMillis, actual);
-            parts.meters().firstPiece(service.name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
+            parts.meters()
+                    .firstPiece(resolved.service().name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
         }
 
         @Override
@@ -470,11 +468,11 @@
         }
 
         private boolean repeat(final AnswerHead received) {
-            return route.rule() == RunRule.SAFE
+            return resolved.route().rule() == RunRule.SAFE
                     && received.serverError()
-                    && runs + 1 < route.maxAttempts()
+                    && runs + 1 < resolved.route().maxAttempts()
                     && sends < MAX_SENDS
-                    && parts.retries().take(service.name());
+                    && parts.retries().take(resolved.service().name());
         }
 
         private void complete(final TargetEntry target) {
@@ -505,7 +503,7 @@
                 excluded.add(target.id());
                 parts.paces().ended(target.id(), true);
             }
-            if (parts.retries().take(service.name())) {
+            if (parts.retries().take(resolved.service().name())) {
                 next();
             } else {
                 giveUp("retries used up");
@@ -528,10 +526,10 @@
 
         private void unknown(final TargetEntry target) {
             excluded.add(target.id());
-            final boolean again = route.rule() == RunRule.SAFE
-                    && runs < route.maxAttempts()
+            final boolean again = resolved.route().rule() == RunRule.SAFE
+                    && runs < resolved.route().maxAttempts()
                     && !parts.losses().poison(call.fingerprint())
-                    && parts.retries().take(service.name());
+                    && parts.retries().take(resolved.service().name());
             if (again) {
                 next();
             } else {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetBelief.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetBelief.java
@@ -22,6 +22,16 @@
         return nowNanos - coldUntilNanos < 0;
     }
 
+    /**
+     * Returns how long the target has been gone.
+     *
+     * @param nowNanos the monotonic time
+     * @return nanoseconds, 0 or less if it is not gone
+     */
+    long goneFor(final long nowNanos) {
+        return goneAtNanos == Long.MAX_VALUE ? 0 : nowNanos - goneAtNanos;
+    }
+
     /**
      * Tells whether new work may go there.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
@@ -21,13 +21,16 @@
  * The targets that have announced themselves.
  *
  * <p>Invariant: an announcement never replaces one with a higher revision. An announcement that ends right after an
- * outage of the key-value service may have lapsed; its target counts for {@link #LAPSE_GRACE} after the outage.
+ * outage of the key-value service may have lapsed; its target counts for {@link #LAPSE_GRACE} after the outage. A target
+ * that has been gone for ten minutes is forgotten; older announcements of it are kept out by the replica.
  * Confined to the decision loop.
  */
 public final class TargetTable {
     /** How long after an outage a lapsed announcement may come back. */
     public static final Duration LAPSE_GRACE = Duration.ofMillis(1_800);
 
+    private static final long FORGET_NANOS = Duration.ofMinutes(10).toNanos();
+
     private final TimerService timer;
     private final DecisionLog log;
     private final Map<TargetId, TargetBelief> beliefs = new TreeMap<>();
@@ -85,6 +88,7 @@
             return;
         }
         final long now = timer.nanoTime();
+        beliefs.values().removeIf(each -> each.goneFor(now) > FORGET_NANOS);
         final boolean lapsed = outageSeen
                 && now - regainedNanos < LAPSE_GRACE.toNanos()
                 && !known.entry().leaving();
