--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
@@ -8,7 +8,7 @@
  * Tells how long a request waits before it is sent to a target that has prompts to read.
  *
  * <p>Answers the load pattern of many prompts that come to one target at once: a target reads all that it has in one
- * step, and the answers that it is writing pause meanwhile. Prompts that wait here instead are read no later, as the
+ * step, and the answers that it is writing pause meanwhile. Prompts that wait here instead are read little later: the
  * target has the ones before them to read until then. Stateless and thread-safe.
  */
 public final class ReadPacing {
