--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -16,11 +16,12 @@
 import org.balsambank.core.partition.LeaseKeeper;
 import org.balsambank.core.partition.OwnershipSettings;
 import org.balsambank.core.port.KeyValueChange;
-import org.balsambank.core.port.KeyValueStore;
 import org.balsambank.core.port.PeerLink;
+import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.admission.ColdShare;
 import org.balsambank.core.serving.admission.TeamBuckets;
 import org.balsambank.core.serving.choice.TargetChooser;
+import org.balsambank.core.serving.fleet.AggregationTree;
 import org.balsambank.core.serving.fleet.DigestExchange;
 import org.balsambank.core.serving.fleet.FleetMembers;
 import org.balsambank.core.serving.fleet.LossBook;
@@ -96,7 +97,7 @@
      */
     public ServingCore(
             final ServingSettings settings,
-            final KeyValueStore store,
+            final PolledKeyValueStore store,
             final FactReader facts,
             final TargetOrders orders,
             final PeerLink peers,
@@ -134,7 +135,7 @@
         final TargetChooser chooser =
                 new TargetChooser(targets, flights, holdings, placement, paces, cold, settings.domain(), timer, random);
         reader = new ReplicaReader(store, replica, new PeerEntries(peers, members, replica, random), this, timer, log);
-        digests = openDigests(buckets, losses);
+        digests = openDigests(new AggregationTree(self, settings.domain()), buckets, losses, random);
         parts = new RunParts(
                 plans,
                 targets,
@@ -154,19 +155,13 @@
         supervisor = new Supervisor("serving", List.of(reader, placement, digests), timer, registry);
     }
 
-    private DigestExchange openDigests(final TeamBuckets buckets, final LossBook losses) {
+    private DigestExchange openDigests(
+            final AggregationTree tree,
+            final TeamBuckets buckets,
+            final LossBook losses,
+            final SplittableRandom random) {
         return new DigestExchange(
-                UUID.randomUUID().getMostSignificantBits(),
-                peers,
-                members,
-                flights,
-                buckets,
-                holdings,
-                placement,
-                losses,
-                replica,
-                reader::lost,
-                timer);
+                tree, peers, members, flights, buckets, holdings, placement, losses, replica, reader, timer, random);
     }
 
     /**
@@ -209,6 +204,15 @@
                 .anyMatch(belief -> claims.right(belief.entry().id()).isPresent());
     }
 
+    /**
+     * Returns what all VMs are known to have under way.
+     *
+     * @return the book of this VM
+     */
+    FlightBook flights() {
+        return flights;
+    }
+
     /**
      * Returns what callers may send.
      *
@@ -251,8 +255,8 @@
     }
 
     @Override
-    public void regained() {
-        targets.regained();
+    public void regained(final Duration ago) {
+        targets.regained(ago);
     }
 
     private void take(final Fact fact, final KeyValueChange change) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/ColdShare.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/ColdShare.java
@@ -13,12 +13,15 @@
 /**
  * Keeps what all VMs send to a target within any second to what a cold target bears.
  *
- * <p>Each VM uses an equal part. Sends to all targets are noted, as a target may become cold at any moment. Answers the
+ * <p>Each VM uses an equal part; where that is less than one request, the first VMs in the order of the target get one
+ * each and the others none. Sends to all targets are noted, as a target may become cold at any moment. Answers the
  * load pattern of targets that come back together and find all VMs waiting. Confined to the decision loop.
  */
 public final class ColdShare {
     private static final long WINDOW_NANOS = Duration.ofSeconds(1).toNanos();
     private static final int MAX_NOTED = 64;
+    /** The part of the limit that is used while VMs may differ about their order. */
+    private static final double MARGIN = 0.8;
 
     private final TimerService timer;
     private final FleetShare fleet;
@@ -49,7 +52,11 @@
      * @return true if the part of this VM is not used up
      */
     public boolean allows(final TargetId target, final double perSecond) {
-        final int part = (int) Math.floor((perSecond * overage + slack) / Math.max(1, fleet.vms()));
+        final double total = perSecond * overage + slack;
+        final int part = (int) Math.floor(total / Math.max(1, fleet.vms()));
+        if (part == 0) {
+            return recent(target).isEmpty() && fleet.place(target) < Math.floor(total * MARGIN);
+        }
         return recent(target).size() < part;
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/FleetShare.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/FleetShare.java
@@ -1,5 +1,7 @@
 package org.balsambank.core.serving.admission;
 
+import org.balsambank.core.id.TargetId;
+
 /** Tells how many VMs share the limits of the fleet. Confined to the decision loop. */
 public interface FleetShare {
     /**
@@ -15,4 +17,12 @@
      * @return this VM and all others that it has heard of lately, at least 1
      */
     int heard();
+
+    /**
+     * Returns the place of this VM in the order that all VMs have for a target.
+     *
+     * @param target the target
+     * @return the place, 0 first
+     */
+    int place(TargetId target);
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/RecentUse.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/RecentUse.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * What one VM has admitted within about the time that it takes the others to hear of it.
+ * What was admitted within about the time that it takes VMs to hear of each other.
  *
  * <p>Invariant: never below zero. Confined to the decision loop.
  */
@@ -11,6 +11,7 @@
     private static final double DECAY_NANOS = Duration.ofMillis(150).toNanos();
 
     private double units;
+    private double count;
     private long atNanos;
 
     /**
@@ -20,6 +21,7 @@
      * @param nowNanos the monotonic time
      */
     void add(final double added, final long nowNanos) {
+        count = Math.max(0, count * left(nowNanos) + Math.signum(added));
         units = Math.max(0, units(nowNanos) + added);
         atNanos = nowNanos;
     }
@@ -31,6 +33,22 @@
      * @return the units
      */
     double units(final long nowNanos) {
-        return units * Math.exp((atNanos - nowNanos) / DECAY_NANOS);
+        return units * left(nowNanos);
+    }
+
+    /**
+     * Returns the units without those of one request of the usual size: a single request tells nothing of what other
+     * VMs admit at the same time.
+     *
+     * @param nowNanos the monotonic time
+     * @return the units, 0 if they are of one request
+     */
+    double unitsBeyondOne(final long nowNanos) {
+        final double requests = count * left(nowNanos);
+        return requests <= 1 ? 0 : units(nowNanos) * (1 - 1 / requests);
+    }
+
+    private double left(final long nowNanos) {
+        return Math.exp((atNanos - nowNanos) / DECAY_NANOS);
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TeamBuckets.java
@@ -8,7 +8,6 @@
 
 import org.balsambank.core.catalogue.RateLimit;
 import org.balsambank.core.id.TeamId;
-import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.time.TimerService;
 
@@ -16,10 +15,11 @@
  * Keeps each team to the rate that it bought, over all VMs together.
  *
  * <p>Each VM keeps a bucket for the whole fleet and takes from it what it admits at once and what others admit as soon
- * as they tell. What they have not told yet counts as what this VM has just admitted, once for each of them. What
- * becomes known late turns the level negative and is paid back before more is admitted. A VM that does not hear some
- * of the others uses only the share of those that it hears. Answers the load pattern of one team that sends many times
- * its usual through all VMs at once. Confined to the decision loop.
+ * as they tell. What they have not told yet counts as what they have told just now, or as what this VM has just
+ * admitted beyond one request, once for each of them, whichever is more. What becomes known late turns the level
+ * negative and is paid back before more is admitted. A VM that does not hear some of the others uses only the share of
+ * those that it hears. Answers the load pattern of one team that sends many times its usual through all VMs at once.
+ * Confined to the decision loop.
  */
 public final class TeamBuckets {
     private static final double FIRST_FILL = 0.25;
@@ -32,7 +32,7 @@
     private final Map<TeamId, DebtBucket> buckets = new HashMap<>();
     private final Map<TeamId, Double> admitted = new HashMap<>();
     private final Map<TeamId, RecentUse> recent = new HashMap<>();
-    private final Map<VmId, Map<TeamId, Long>> peers = new HashMap<>();
+    private final Map<TeamId, RecentUse> elsewhere = new HashMap<>();
 
     /**
      * Creates buckets that nobody has used.
@@ -79,29 +79,17 @@
     }
 
     /**
-     * Another VM tells how much it has admitted since its start.
+     * Other VMs tell what they have admitted.
      *
-     * @param vm the other VM, with its start
      * @param team the team
-     * @param total the units since its start
+     * @param units the units that were not told before, below zero if given back
      */
-    public void peer(final VmId vm, final TeamId team, final long total) {
-        final Long before =
-                peers.computeIfAbsent(vm, ignored -> new HashMap<>()).put(team, total);
+    public void admittedElsewhere(final TeamId team, final long units) {
         final DebtBucket bucket = buckets.get(team);
-        if (before != null && bucket != null) {
-            bucket.take(total - before);
+        if (bucket != null) {
+            bucket.take(units);
         }
-    }
-
-    /**
-     * Forgets what another VM has told, as it has started again or was not heard of: meanwhile each VM has used its own
-     * part only, so that nothing is owed for the part of the other.
-     *
-     * @param vm the other VM
-     */
-    public void forget(final VmId vm) {
-        peers.remove(vm);
+        elsewhere.computeIfAbsent(team, ignored -> new RecentUse()).add(units, timer.nanoTime());
     }
 
     /**
@@ -128,8 +116,11 @@
     }
 
     private double untold(final TeamId team) {
-        final RecentUse use = recent.get(team);
-        return use == null ? 0 : use.units(timer.nanoTime()) * (fleet.heard() - 1);
+        final long now = timer.nanoTime();
+        final RecentUse own = recent.get(team);
+        final RecentUse others = elsewhere.get(team);
+        final double likeOwn = own == null ? 0 : own.unitsBeyondOne(now) * (fleet.heard() - 1);
+        return Math.max(likeOwn, others == null ? 0 : others.units(now));
     }
 
     private double share() {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -1,52 +1,54 @@
 package org.balsambank.core.serving.fleet;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
+import java.util.random.RandomGenerator;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
-import org.balsambank.core.id.BaseModel;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.TeamId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.port.PeerLink;
-import org.balsambank.core.port.VmEntry;
 import org.balsambank.core.serving.admission.TeamBuckets;
-import org.balsambank.core.serving.placement.AdapterKey;
-import org.balsambank.core.serving.placement.HeldAdapters;
 import org.balsambank.core.serving.placement.HoldingBook;
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.replica.EntryReplica;
+import org.balsambank.core.serving.replica.ReplicaReader;
 import org.balsambank.core.serving.target.FlightBook;
 import org.balsambank.core.supervise.Part;
 import org.balsambank.core.time.TimerService;
+import org.balsambank.protocol.generated.serving.BrokenRuns;
 import org.balsambank.protocol.generated.serving.Digest;
-import org.balsambank.protocol.generated.serving.DigestAnswer;
-import org.balsambank.protocol.generated.serving.HeldAdapter;
 import org.balsambank.protocol.generated.serving.Holding;
 import org.balsambank.protocol.generated.serving.TargetUse;
 import org.balsambank.protocol.generated.serving.TeamUse;
 
 /**
- * Tells the other VMs some times a second what has changed here, and takes in what they tell.
+ * Tells the fleet what has changed here, and hears what has changed elsewhere, along the {@link AggregationTree}.
  *
- * <p>Invariant: what is known of another VM is a state that it had; a VM that misses a digest asks for a full one.
- * Confined to the decision loop.
+ * <p>A VM calls its parent some times a second with what has changed on its side of the edge; the answer holds what has
+ * changed on the other side. So a VM sends and takes as many messages in a large fleet as in a small one. A parent that
+ * does not answer is passed over for a while; what it has told counts until the next one answers.
+ *
+ * <p>Invariant: what passes over an edge never leads back what came over it. Confined to the decision loop.
  */
 public final class DigestExchange implements Part {
-    private static final Duration EVERY = Duration.ofMillis(150);
-    private static final Duration QUIET = Duration.ofMillis(450);
-    private static final Duration TIMEOUT = Duration.ofMillis(800);
+    private static final Duration STEP = Duration.ofMillis(25);
+    private static final long MEMBER_NANOS = Duration.ofMillis(75).toNanos();
+    private static final long HEAD_NANOS = Duration.ofMillis(50).toNanos();
+    private static final long QUIET_NANOS = Duration.ofMillis(125).toNanos();
+    private static final long SILENT_NANOS = Duration.ofMillis(900).toNanos();
+    private static final long PASSED_OVER_NANOS = Duration.ofMillis(1_000).toNanos();
+    private static final Duration TIMEOUT = Duration.ofMillis(450);
 
-    private final long boot;
+    private final AggregationTree tree;
     private final PeerLink peers;
     private final FleetMembers members;
     private final FlightBook flights;
@@ -55,17 +57,22 @@
     private final Placement placement;
     private final LossBook losses;
     private final EntryReplica replica;
-    private final BooleanSupplier storeLost;
+    private final ReplicaReader reader;
     private final TimerService timer;
-    private final Map<VmId, Peer> sent = new HashMap<>();
-    private final Map<VmId, Received> received = new HashMap<>();
-    private final Map<TeamId, Long> toldTeams = new HashMap<>();
-    private long lastNanos;
+    private final RandomGenerator random;
+    private final Map<VmId, TreeEdge> edges = new LinkedHashMap<>();
+    private final Map<VmId, Long> passedOver = new HashMap<>();
+    private final Map<TeamId, Long> collectedUnits = new HashMap<>();
+    private Optional<VmId> parent = Optional.empty();
+    private Optional<VmId> formerParent = Optional.empty();
+    private boolean calling;
+    private boolean quiet;
+    private long calledNanos;
 
     /**
-     * Creates an exchange.
+     * Creates an exchange and answers the other VMs.
      *
-     * @param boot tells runs of this process apart
+     * @param tree the place of this VM in the fleet
      * @param peers the links to the other VMs
      * @param members the other VMs
      * @param flights what is under way
@@ -74,11 +81,12 @@
      * @param placement the targets to which this VM gives orders
      * @param losses requests that have cost targets
      * @param replica the entries that this VM knows
-     * @param storeLost tells whether this VM can't read the key-value service
+     * @param reader reads the key-value service
      * @param timer gives the time
+     * @param random names sessions
      */
     public DigestExchange(
-            final long boot,
+            final AggregationTree tree,
             final PeerLink peers,
             final FleetMembers members,
             final FlightBook flights,
@@ -87,9 +95,10 @@
             final Placement placement,
             final LossBook losses,
             final EntryReplica replica,
-            final BooleanSupplier storeLost,
-            final TimerService timer) {
-        this.boot = boot;
+            final ReplicaReader reader,
+            final TimerService timer,
+            final RandomGenerator random) {
+        this.tree = Objects.requireNonNull(tree);
         this.peers = Objects.requireNonNull(peers);
         this.members = Objects.requireNonNull(members);
         this.flights = Objects.requireNonNull(flights);
@@ -98,9 +107,10 @@
         this.placement = Objects.requireNonNull(placement);
         this.losses = Objects.requireNonNull(losses);
         this.replica = Objects.requireNonNull(replica);
-        this.storeLost = Objects.requireNonNull(storeLost);
+        this.reader = Objects.requireNonNull(reader);
         this.timer = Objects.requireNonNull(timer);
-        peers.serve(FleetMethods.DIGEST, (from, digest) -> Flowable.fromCallable(() -> take(from, digest)));
+        this.random = Objects.requireNonNull(random);
+        peers.serve(FleetMethods.DIGEST, (from, digest) -> Flowable.fromCallable(() -> answer(from, digest)));
     }
 
     @Override
@@ -110,175 +120,240 @@
 
     @Override
     public Completable run() {
-        return timer.every(EVERY).doOnNext(tick -> tell()).ignoreElements();
+        return timer.every(STEP).doOnNext(tick -> step()).ignoreElements();
     }
 
-    private void tell() {
+    private void step() {
         forgetSilent();
-        final Collection<VmEntry> others = members.others();
-        sent.keySet().retainAll(others.stream().map(VmEntry::id).collect(Collectors.toSet()));
-        final Digest changes = changes();
-        final boolean empty = changes.getUsesCount() == 0
-                && changes.getTeamsCount() == 0
-                && changes.getHoldingsCount() == 0
-                && changes.getBrokenCount() == 0;
-        final boolean quiet = empty && timer.nanoTime() - lastNanos < QUIET.toNanos();
-        if (!quiet) {
-            lastNanos = timer.nanoTime();
+        collect();
+        chooseParent();
+        reader.readsItself(parent.isEmpty() || tree.speaksForDomain(members.others(), parent.get()));
+        if (parent.isPresent() && !calling && timer.nanoTime() - calledNanos >= interval()) {
+            call(edges.get(parent.get()));
         }
-        Digest all = null;
-        for (final VmEntry other : others) {
-            final Peer peer = sent.computeIfAbsent(other.id(), ignored -> new Peer());
-            if (peer.synced) {
-                if (!quiet) {
-                    send(other.id(), peer, changes);
-                }
-            } else if (!peer.waiting) {
-                all = all == null ? all() : all;
-                peer.synced = true;
-                send(other.id(), peer, all);
-            }
+    }
+
+    private long interval() {
+        if (tree.speaksForDomain(members.others(), parent.get())) {
+            return HEAD_NANOS;
         }
+        return quiet && !edges.get(parent.get()).pending() ? QUIET_NANOS : MEMBER_NANOS;
     }
 
-    private void send(final VmId vm, final Peer peer, final Digest content) {
-        final Digest digest = content.toBuilder()
-                .setBoot(boot)
-                .setNumber(++peer.number)
-                .setRevision(replica.revision())
-                .setStoreLost(storeLost.getAsBoolean())
-                .build();
-        peer.waiting = true;
-        peers.call(vm, FleetMethods.DIGEST, digest, TIMEOUT)
+    private void chooseParent() {
+        final long now = timer.nanoTime();
+        passedOver.values().removeIf(since -> now - since > PASSED_OVER_NANOS);
+        final Optional<VmId> wanted = tree.parent(members.others(), vm -> !passedOver.containsKey(vm));
+        if (calling || wanted.equals(parent)) {
+            return;
+        }
+        final Optional<TreeEdge> left = parent.map(edges::get);
+        final Optional<VmId> answeredLast = left.filter(TreeEdge::answered).isPresent() ? parent : formerParent;
+        left.filter(edge -> !edge.answered()).ifPresent(this::drop);
+        formerParent.filter(vm -> !answeredLast.equals(formerParent)).ifPresent(vm -> dropVm(vm));
+        formerParent = answeredLast.filter(vm -> !wanted.equals(Optional.of(vm)));
+        parent = wanted;
+        wanted.ifPresent(vm -> {
+            dropVm(vm);
+            final TreeEdge edge = open(vm);
+            left.ifPresent(before -> before.unconfirmedUnits().forEach(edge::admitted));
+        });
+        quiet = false;
+        calledNanos = now - MEMBER_NANOS;
+    }
+
+    private TreeEdge open(final VmId vm) {
+        final TreeEdge edge = new TreeEdge(vm, random.nextLong() | 1, timer.nanoTime());
+        edges.put(vm, edge);
+        return edge;
+    }
+
+    private void dropVm(final VmId vm) {
+        Optional.ofNullable(edges.get(vm)).ifPresent(this::drop);
+    }
+
+    private void drop(final TreeEdge edge) {
+        edges.remove(edge.other(), edge);
+        forgetUses(edge);
+        if (formerParent.equals(Optional.of(edge.other()))) {
+            formerParent = Optional.empty();
+        }
+        heard();
+    }
+
+    private void forgetUses(final TreeEdge edge) {
+        flights.forget(edge.other()).forEach(target -> useChanged(target, edge));
+    }
+
+    private void call(final TreeEdge edge) {
+        calling = true;
+        calledNanos = timer.nanoTime();
+        final boolean silent = !edge.pending();
+        peers.call(edge.other(), FleetMethods.DIGEST, digest(edge), TIMEOUT)
                 .subscribe(
                         answer -> {
-                            peer.waiting = false;
-                            peer.synced &= !answer.getNeedFull();
+                            calling = false;
+                            take(edge, answer);
+                            quiet = silent && empty(answer);
+                            formerParent.ifPresent(this::dropVm);
                         },
                         error -> {
-                            peer.waiting = false;
-                            peer.synced = false;
+                            calling = false;
+                            edge.lost();
+                            passedOver.put(edge.other(), timer.nanoTime());
                         });
     }
 
-    private Digest changes() {
+    private static boolean empty(final Digest digest) {
+        return digest.getUsesCount() == 0 && digest.getTeamsCount() == 0 && digest.getHoldingsCount() == 0;
+    }
+
+    private Digest answer(final VmId from, final Digest asked) {
+        TreeEdge edge = edges.get(from);
+        if (edge == null) {
+            edge = open(from);
+        }
+        collect();
+        take(edge, asked);
+        return digest(edge);
+    }
+
+    /** Writes what an edge has not been told yet. */
+    private Digest digest(final TreeEdge edge) {
         final Digest.Builder digest = Digest.newBuilder();
-        flights.takeChanged().forEach(target -> digest.addUses(use(target)));
-        buckets.totals().forEach((team, units) -> {
-            if (!units.equals(toldTeams.put(team, units))) {
-                digest.addTeams(team(team, units));
-            }
-        });
-        placement.takeChanged().forEach((target, held) -> digest.addHoldings(holding(target, held)));
-        losses.takeUntold().forEach(digest::addBroken);
+        final boolean full = edge.full();
+        final Set<VmId> elsewhere = notOnThisSide(edge);
+        final Set<TargetId> changedUses = edge.takeUses();
+        for (final TargetId target : full ? flights.known() : changedUses) {
+            final FlightBook.Use use = flights.without(target, elsewhere);
+            digest.addUses(DigestCodec.use(target, use, edge.sameAdapters(target, use.adapters())));
+        }
+        edge.takeUnits()
+                .forEach((team, units) -> digest.addTeams(
+                        TeamUse.newBuilder().setTeam(team.value()).setUnits(units)));
+        final Set<TargetId> changedHoldings = edge.takeHoldings();
+        for (final TargetId target : full ? holdings.told() : changedHoldings) {
+            holdings.told(target).ifPresent(held -> digest.addHoldings(DigestCodec.holding(target, held)));
+        }
+        digest.addAllBroken(edge.takeBroken());
+        final long regained =
+                reader.sinceRegained().map(since -> since.toMillis() + 1).orElse(0L);
+        digest.setVms(1 + count(elsewhere, false))
+                .setReaders((reader.lost() ? 0 : 1) + count(elsewhere, true))
+                .setRevision(replica.revision())
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, reader.age().toMillis()))
+                .setRegainedMillis(regained);
+        if (!parent.equals(Optional.of(edge.other())) && edge.revision() > 0) {
+            replica.changesAfter(edge.revision()).forEach(change -> digest.addEntries(DigestCodec.entry(change)));
+        }
+        edge.stamp(digest);
         return digest.build();
     }
 
-    private Digest all() {
-        final Digest.Builder digest = Digest.newBuilder().setFull(true);
-        flights.busy().forEach(target -> digest.addUses(use(target)));
-        buckets.totals().forEach((team, units) -> digest.addTeams(team(team, units)));
-        placement.held().forEach((target, held) -> digest.addHoldings(holding(target, held)));
-        return digest.build();
+    /** Returns whose contributions an edge must not be told: its own, and towards a parent those of both parents. */
+    private Set<VmId> notOnThisSide(final TreeEdge edge) {
+        final boolean up = parent.equals(Optional.of(edge.other()));
+        return up && formerParent.isPresent() ? Set.of(edge.other(), formerParent.get()) : Set.of(edge.other());
     }
 
-    private TargetUse use(final TargetId target) {
-        final FlightBook.Use use = flights.own(target);
-        return TargetUse.newBuilder()
-                .setTarget(target.value())
-                .setRequests(use.requests())
-                .setTokensAhead((int) use.tokensAhead())
-                .addAllAdapters(
-                        use.adapters().stream().map(AdapterKey::toString).toList())
-                .build();
+    private int count(final Set<VmId> elsewhere, final boolean readers) {
+        int sum = 0;
+        for (final TreeEdge each : edges.values()) {
+            if (!elsewhere.contains(each.other())) {
+                sum += readers ? each.readers() : each.vms();
+            }
+        }
+        return sum;
     }
 
-    private static TeamUse team(final TeamId team, final long units) {
-        return TeamUse.newBuilder().setTeam(team.value()).setUnits(units).build();
+    private void take(final TreeEdge edge, final Digest digest) {
+        final boolean usable = edge.heard(digest, timer.nanoTime());
+        heard();
+        if (!usable || edges.get(edge.other()) != edge) {
+            return;
+        }
+        if (digest.getFull()) {
+            forgetUses(edge);
+        }
+        digest.getUsesList().forEach(use -> takeUse(edge, use));
+        digest.getTeamsList().forEach(use -> takeUnits(edge, use));
+        digest.getHoldingsList().forEach(holding -> takeHolding(edge, holding));
+        digest.getBrokenList().forEach(loss -> takeBroken(edge, loss));
+        if (parent.equals(Optional.of(edge.other()))) {
+            reader.told(
+                    digest.getRevision(),
+                    Duration.ofMillis(digest.getAgeMillis()),
+                    Duration.ofMillis(digest.getRegainedMillis()),
+                    DigestCodec.changes(digest.getEntriesList()));
+        }
     }
 
-    private static Holding holding(final TargetId target, final HeldAdapters held) {
-        final Holding.Builder holding =
-                Holding.newBuilder().setTarget(target.value()).setFence(held.fence());
-        held.models().forEach(model -> holding.addModels(model.value()));
-        held.adapters()
-                .forEach((adapter, version) -> holding.addAdapters(
-                        HeldAdapter.newBuilder().setAdapter(adapter.toString()).setVersion(version)));
-        held.pending()
-                .forEach(adapter -> holding.addAdapters(
-                        HeldAdapter.newBuilder().setAdapter(adapter.toString()).setPending(true)));
-        return holding.build();
+    private void takeUse(final TreeEdge edge, final TargetUse use) {
+        final TargetId target = new TargetId(use.getTarget());
+        final FlightBook.Use before = flights.peer(edge.other(), target);
+        flights.peer(edge.other(), target, DigestCodec.use(use, before.adapters()));
+        useChanged(target, edge);
     }
 
-    private DigestAnswer take(final VmId from, final Digest digest) {
-        members.heardFrom(from);
-        members.storeOf(from, digest.getStoreLost());
-        final Received known = received.computeIfAbsent(from, ignored -> new Received());
-        if (known.boot != digest.getBoot()) {
-            buckets.forget(from);
-            flights.forget(from);
-            known.boot = digest.getBoot();
-            known.number = 0;
+    private void takeUnits(final TreeEdge edge, final TeamUse use) {
+        final TeamId team = new TeamId(use.getTeam());
+        final long added = edge.newUnits(team, use.getUnits());
+        if (added != 0) {
+            buckets.admittedElsewhere(team, added);
+            othersThan(edge).forEach(each -> each.admitted(team, added));
         }
-        if (digest.getFull()) {
-            flights.forget(from);
-        } else if (digest.getNumber() != known.number + 1) {
-            return DigestAnswer.newBuilder().setNeedFull(true).build();
+    }
+
+    private void takeHolding(final TreeEdge edge, final Holding holding) {
+        final TargetId target = new TargetId(holding.getTarget());
+        if (holdings.told(target, DigestCodec.holding(holding))) {
+            othersThan(edge).forEach(each -> each.holdingChanged(target));
+        }
+    }
+
+    private void takeBroken(final TreeEdge edge, final BrokenRuns loss) {
+        if (losses.told(loss)) {
+            othersThan(edge).forEach(each -> each.broke(loss));
         }
-        known.number = digest.getNumber();
-        digest.getUsesList().forEach(use -> takeUse(from, use));
-        digest.getTeamsList().forEach(use -> buckets.peer(from, new TeamId(use.getTeam()), use.getUnits()));
-        digest.getHoldingsList().forEach(this::takeHolding);
-        digest.getBrokenList().forEach(losses::told);
-        return DigestAnswer.getDefaultInstance();
     }
 
-    private void takeUse(final VmId from, final TargetUse use) {
-        final Set<AdapterKey> adapters =
-                use.getAdaptersList().stream().map(AdapterKey::parse).collect(Collectors.toSet());
-        flights.peer(
-                from,
-                new TargetId(use.getTarget()),
-                new FlightBook.Use(use.getRequests(), use.getTokensAhead(), adapters));
+    private void useChanged(final TargetId target, final TreeEdge source) {
+        othersThan(source).forEach(each -> each.useChanged(target));
     }
 
-    private void takeHolding(final Holding holding) {
-        final Map<AdapterKey, Long> adapters = new HashMap<>();
-        final Set<AdapterKey> pending = new HashSet<>();
-        for (final HeldAdapter each : holding.getAdaptersList()) {
-            final AdapterKey adapter = AdapterKey.parse(each.getAdapter());
-            if (each.getPending()) {
-                pending.add(adapter);
-            } else {
-                adapters.put(adapter, each.getVersion());
+    private List<TreeEdge> othersThan(final TreeEdge source) {
+        return edges.values().stream().filter(each -> each != source).toList();
+    }
+
+    /** Notes for all edges what has changed at this VM itself. */
+    private void collect() {
+        final Set<TargetId> uses = flights.takeChanged();
+        final Set<TargetId> held = placement.takeChanged();
+        final List<BrokenRuns> broken = losses.takeUntold();
+        buckets.totals().forEach((team, sum) -> {
+            final Long before = collectedUnits.put(team, sum);
+            final long added = sum - (before == null ? 0 : before);
+            if (added != 0) {
+                edges.values().forEach(edge -> edge.admitted(team, added));
             }
+        });
+        for (final TreeEdge edge : edges.values()) {
+            uses.forEach(edge::useChanged);
+            held.forEach(edge::holdingChanged);
+            broken.forEach(edge::broke);
         }
-        final Set<BaseModel> models =
-                holding.getModelsList().stream().map(BaseModel::new).collect(Collectors.toSet());
-        holdings.told(
-                new TargetId(holding.getTarget()), new HeldAdapters(holding.getFence(), adapters, pending, models));
     }
 
     private void forgetSilent() {
-        for (final VmId vm : List.copyOf(received.keySet())) {
-            if (!members.recent(vm)) {
-                flights.forget(vm);
-                buckets.forget(vm);
-                received.get(vm).number = 0;
+        final long now = timer.nanoTime();
+        for (final TreeEdge edge : List.copyOf(edges.values())) {
+            if (now - edge.heardNanos() > SILENT_NANOS && !parent.equals(Optional.of(edge.other()))) {
+                drop(edge);
             }
         }
     }
 
-    /** What another VM has been sent. */
-    private static final class Peer {
-        private long number;
-        private boolean synced;
-        private boolean waiting;
-    }
-
-    /** What another VM has told last. */
-    private static final class Received {
-        private long boot;
-        private long number;
+    private void heard() {
+        members.heard(1 + count(Set.of(), false), count(Set.of(), true));
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -13,32 +13,32 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.balsambank.core.id.FailureDomain;
+import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.partition.LeaseKeeper;
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.VmEntry;
 import org.balsambank.core.serving.admission.FleetShare;
+import org.balsambank.core.target.RendezvousHash;
 import org.balsambank.core.time.TimerService;
 import org.balsambank.protocol.generated.ownership.MemberRecord;
 
 /**
- * The VMs that are registered, and when each was heard of.
+ * The VMs that are registered, and how many of them are heard of.
  *
  * <p>Confined to the decision loop.
  */
 public final class FleetMembers implements FleetShare {
-    private static final long JUST_NOW_NANOS = Duration.ofMillis(900).toNanos();
-    private static final long HEARD_NANOS = Duration.ofMillis(1_500).toNanos();
     private static final long GONE_COUNTS_NANOS = Duration.ofSeconds(10).toNanos();
 
     private final VmId self;
     private final TimerService timer;
     private final DecisionLog log;
     private final Map<String, VmEntry> byKey = new TreeMap<>();
-    private final Map<VmId, Long> heardNanos = new HashMap<>();
     private final Map<VmId, Long> goneNanos = new HashMap<>();
-    private final Set<VmId> withoutStore = new HashSet<>();
+    private int heard = 1;
+    private int readers;
 
     /**
      * Creates a list of this VM alone.
@@ -95,53 +95,23 @@
     }
 
     /**
-     * Another VM has told something.
+     * The VMs that were heard of, directly or through others, have been counted.
      *
-     * @param vm the other VM
+     * @param count the VMs, this one included
+     * @param canRead those of the others that can read the key-value service
      */
-    public void heardFrom(final VmId vm) {
-        heardNanos.put(vm, timer.nanoTime());
-    }
-
-    /**
-     * Another VM has told whether it can read the key-value service.
-     *
-     * @param vm the other VM
-     * @param lost true if it can't
-     */
-    public void storeOf(final VmId vm, final boolean lost) {
-        if (lost) {
-            withoutStore.add(vm);
-        } else {
-            withoutStore.remove(vm);
-        }
+    public void heard(final int count, final int canRead) {
+        heard = count;
+        readers = canRead;
     }
 
     /**
      * Tells whether no other VM can have written to the key-value service a moment ago.
      *
-     * @return true if all others were heard of just now and none of them can read the service
+     * @return true if all others were heard of and none of them can read the service
      */
     public boolean othersWithoutStore() {
-        final long now = timer.nanoTime();
-        for (final VmEntry each : others()) {
-            final Long at = heardNanos.get(each.id());
-            if (at == null || now - at > JUST_NOW_NANOS || !withoutStore.contains(each.id())) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * Tells whether another VM was heard of lately.
-     *
-     * @param vm the other VM
-     * @return true if so
-     */
-    public boolean recent(final VmId vm) {
-        final Long at = heardNanos.get(vm);
-        return at != null && timer.nanoTime() - at < HEARD_NANOS;
+        return heard > others().size() && readers == 0;
     }
 
     /**
@@ -175,21 +145,26 @@
     @Override
     public int vms() {
         final long now = timer.nanoTime();
-        goneNanos.entrySet().removeIf(each -> now - each.getValue() > GONE_COUNTS_NANOS && !recent(each.getKey()));
+        goneNanos.values().removeIf(since -> now - since > GONE_COUNTS_NANOS);
         final Set<VmId> sharing = new HashSet<>(goneNanos.keySet());
-        others().forEach(each -> sharing.add(each.id()));
+        byKey.values().forEach(each -> sharing.add(each.id()));
         sharing.add(self);
-        return sharing.size();
+        return Math.max(heard, sharing.size());
     }
 
     @Override
     public int heard() {
-        int count = 1;
-        for (final VmEntry each : others()) {
-            if (recent(each.id())) {
-                count++;
-            }
-        }
-        return count;
+        return heard;
+    }
+
+    @Override
+    public int place(final TargetId target) {
+        final long subject = RendezvousHash.of(target.value());
+        final long own = RendezvousHash.score(subject, RendezvousHash.of(self.value()));
+        return (int) others().stream()
+                .filter(each -> RendezvousHash.score(
+                                subject, RendezvousHash.of(each.id().value()))
+                        > own)
+                .count();
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMethods.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMethods.java
@@ -2,7 +2,6 @@
 
 import org.balsambank.core.port.PeerMethod;
 import org.balsambank.protocol.generated.serving.Digest;
-import org.balsambank.protocol.generated.serving.DigestAnswer;
 import org.balsambank.protocol.generated.serving.EntriesAnswer;
 import org.balsambank.protocol.generated.serving.EntriesAsk;
 import org.balsambank.protocol.generated.serving.HoldAnswer;
@@ -14,9 +13,9 @@
  * <p>Immutable and thread-safe.
  */
 public final class FleetMethods {
-    /** Tells what a VM has under way, has admitted and has loaded. */
-    public static final PeerMethod<Digest, DigestAnswer> DIGEST =
-            new PeerMethod<>(70, "serving-digest", Digest.parser(), DigestAnswer.parser());
+    /** Tells and asks what is under way, has been admitted and is loaded. */
+    public static final PeerMethod<Digest, Digest> DIGEST =
+            new PeerMethod<>(70, "serving-digest", Digest.parser(), Digest.parser());
     /** Asks for an adapter at a target. */
     public static final PeerMethod<HoldAsk, HoldAnswer> HOLD =
             new PeerMethod<>(71, "serving-hold", HoldAsk.parser(), HoldAnswer.parser());
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/LossBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/LossBook.java
@@ -52,9 +52,10 @@
      * Another VM tells of a loss.
      *
      * @param loss the loss
+     * @return true if it was not known
      */
-    public void told(final BrokenRuns loss) {
-        register.record(
+    public boolean told(final BrokenRuns loss) {
+        return register.record(
                 new Fingerprint(loss.getFingerprint()),
                 new CrashId(new TargetId(loss.getTarget()), new BootId(loss.getBoot())));
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PeerEntries.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PeerEntries.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 import io.reactivex.rxjava3.core.Flowable;
@@ -17,7 +16,6 @@
 import org.balsambank.core.serving.replica.EntrySource;
 import org.balsambank.protocol.generated.serving.EntriesAnswer;
 import org.balsambank.protocol.generated.serving.EntriesAsk;
-import org.balsambank.protocol.generated.serving.Entry;
 
 /**
  * Passes entries of the key-value service between VMs, for those that can't read it.
@@ -61,26 +59,14 @@
             }
             final VmEntry chosen = others.get(random.nextInt(others.size()));
             final EntriesAsk ask = EntriesAsk.newBuilder().setAfter(after).build();
-            return peers.call(chosen.id(), FleetMethods.ENTRIES, ask, TIMEOUT).map(PeerEntries::changes);
+            return peers.call(chosen.id(), FleetMethods.ENTRIES, ask, TIMEOUT)
+                    .map(answer -> DigestCodec.changes(answer.getEntriesList()));
         });
     }
 
     private EntriesAnswer answer(final EntriesAsk ask) {
         final EntriesAnswer.Builder answer = EntriesAnswer.newBuilder().setRevision(replica.revision());
-        for (final KeyValueChange change : replica.changesAfter(ask.getAfter())) {
-            final Entry.Builder entry = Entry.newBuilder().setKey(change.key()).setRevision(change.revision());
-            change.value().ifPresentOrElse(entry::setValue, () -> entry.setDeleted(true));
-            answer.addEntries(entry);
-        }
+        replica.changesAfter(ask.getAfter()).forEach(change -> answer.addEntries(DigestCodec.entry(change)));
         return answer.build();
     }
-
-    private static List<KeyValueChange> changes(final EntriesAnswer answer) {
-        return answer.getEntriesList().stream()
-                .map(entry -> new KeyValueChange(
-                        entry.getKey(),
-                        entry.getDeleted() ? Optional.empty() : Optional.of(entry.getValue()),
-                        entry.getRevision()))
-                .toList();
-    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.balsambank.core.id.BaseModel;
@@ -28,15 +29,37 @@
      *
      * @param target the target
      * @param adapters what it holds
+     * @return true if that is newer than what was known
      */
-    public void told(final TargetId target, final HeldAdapters adapters) {
+    public boolean told(final TargetId target, final HeldAdapters adapters) {
         final HeldAdapters known = held.get(target);
-        if (known == null || known.fence() <= adapters.fence()) {
-            held.put(target, adapters);
-            final Map<AdapterKey, Boolean> seen = recent.computeIfAbsent(target, ignored -> new RecentAdapters());
-            adapters.adapters().keySet().forEach(each -> seen.put(each, true));
-            adapters.pending().forEach(each -> seen.put(each, true));
+        if (known != null && !adapters.newerThan(known)) {
+            return false;
         }
+        held.put(target, adapters);
+        final Map<AdapterKey, Boolean> seen = recent.computeIfAbsent(target, ignored -> new RecentAdapters());
+        adapters.adapters().keySet().forEach(each -> seen.put(each, true));
+        adapters.pending().forEach(each -> seen.put(each, true));
+        return true;
+    }
+
+    /**
+     * Returns the targets of which a VM that gives orders has told.
+     *
+     * @return the targets
+     */
+    public Set<TargetId> told() {
+        return Set.copyOf(held.keySet());
+    }
+
+    /**
+     * Returns what a VM that gives orders has told.
+     *
+     * @param target the target
+     * @return what it holds, if something was told since its start
+     */
+    public Optional<HeldAdapters> told(final TargetId target) {
+        return Optional.ofNullable(held.get(target)).filter(known -> known.fence() > 0);
     }
 
     /**
@@ -61,7 +84,7 @@
         final HeldAdapters known = of(entry);
         final Map<AdapterKey, Long> rest = new HashMap<>(known.adapters());
         rest.remove(adapter);
-        held.put(entry.id(), new HeldAdapters(known.fence(), rest, known.pending(), known.models()));
+        held.put(entry.id(), new HeldAdapters(known.fence(), known.number(), rest, known.pending(), known.models()));
     }
 
     /**
@@ -121,7 +144,7 @@
     }
 
     private static HeldAdapters announced(final TargetEntry entry) {
-        return new HeldAdapters(0, entry.adapters(), Set.of(), Set.copyOf(entry.models()));
+        return new HeldAdapters(0, 0, entry.adapters(), Set.of(), Set.copyOf(entry.models()));
     }
 
     /** The adapters that a target has held, the one told last at the end; the eldest makes way. */
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/Placement.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -175,26 +177,15 @@
     }
 
     /**
-     * Returns what the targets hold to which this VM gives orders.
+     * Returns the targets to which this VM gives orders and whose holding has changed since the last call.
      *
-     * @return what each holds
+     * @return the targets
      */
-    public Map<TargetId, HeldAdapters> held() {
-        final Map<TargetId, HeldAdapters> held = new HashMap<>();
-        keepers.forEach((id, keeper) -> held.put(id, holdings.of(keeper.target())));
-        return held;
-    }
-
-    /**
-     * Returns those whose holding has changed since the last call.
-     *
-     * @return what each holds
-     */
-    public Map<TargetId, HeldAdapters> takeChanged() {
-        final Map<TargetId, HeldAdapters> changed = new HashMap<>();
+    public Set<TargetId> takeChanged() {
+        final Set<TargetId> changed = new HashSet<>();
         keepers.forEach((id, keeper) -> {
             if (keeper.takeChanged()) {
-                changed.put(id, holdings.of(keeper.target()));
+                changed.add(id);
             }
         });
         return changed;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetKeeper.java
@@ -361,8 +361,9 @@
     private void tell() {
         final Set<AdapterKey> coming = new HashSet<>(ledger.pending().keySet());
         coming.addAll(wishes.keySet());
-        final HeldAdapters now = new HeldAdapters(right.fence(), ledger.held(), coming, ledger.models());
-        if (!now.equals(holdings.of(target))) {
+        final HeldAdapters now =
+                new HeldAdapters(right.fence(), timer.nanoTime(), ledger.held(), coming, ledger.models());
+        if (!now.sameContent(holdings.of(target))) {
             told = true;
             holdings.told(target.id(), now);
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryListener.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryListener.java
@@ -1,5 +1,7 @@
 package org.balsambank.core.serving.replica;
 
+import java.time.Duration;
+
 import org.balsambank.core.port.KeyValueChange;
 
 /** Hears of entries that have changed. Confined to the decision loop. */
@@ -11,6 +13,10 @@
      */
     void changed(KeyValueChange change);
 
-    /** The service answers again after an outage, and all that changed meanwhile has been told. */
-    void regained();
+    /**
+     * The service answers again after an outage.
+     *
+     * @param ago how long it has done so
+     */
+    void regained(Duration ago);
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryReplica.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/EntryReplica.java
@@ -5,8 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.KeyValueEntry;
@@ -22,6 +24,7 @@
     private static final int MAX_REMOVED = 20_000;
 
     private final Map<String, KeyValueChange> entries = new HashMap<>();
+    private final NavigableMap<Long, Map<String, KeyValueChange>> byRevision = new TreeMap<>();
     private long revision;
     private int removed;
 
@@ -52,6 +55,12 @@
             return false;
         }
         entries.put(change.key(), change);
+        if (known != null) {
+            unlist(known);
+        }
+        byRevision
+                .computeIfAbsent(change.revision(), ignored -> new HashMap<>())
+                .put(change.key(), change);
         removed += count(change) - (known == null ? 0 : count(known));
         return true;
     }
@@ -91,14 +100,22 @@
      * Returns what has changed, for another VM.
      *
      * @param after the revision that the other VM has seen
-     * @return the changes in any order
+     * @return the changes, oldest first
      */
     public List<KeyValueChange> changesAfter(final long after) {
-        return entries.values().stream()
-                .filter(change -> change.revision() > after)
+        return byRevision.tailMap(after, false).values().stream()
+                .flatMap(changes -> changes.values().stream())
                 .toList();
     }
 
+    private void unlist(final KeyValueChange change) {
+        final Map<String, KeyValueChange> sameRevision = byRevision.get(change.revision());
+        sameRevision.remove(change.key());
+        if (sameRevision.isEmpty()) {
+            byRevision.remove(change.revision());
+        }
+    }
+
     private void add(final List<KeyValueChange> changes, final KeyValueChange change) {
         if (apply(change)) {
             changes.add(change);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
@@ -1,43 +1,55 @@
 package org.balsambank.core.serving.replica;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 import io.reactivex.rxjava3.core.Completable;
-import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Single;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueException.Reason;
-import org.balsambank.core.port.KeyValueStore;
+import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.supervise.Part;
 import org.balsambank.core.time.TimerService;
 
 /**
- * Keeps the replica up to date: lists once, then watches; asks other VMs while the service can't be read.
+ * Keeps the replica up to date.
  *
- * <p>A watch whose history is gone is replaced by a list. Confined to the decision loop.
+ * <p>Few VMs read the key-value service and pass on what they read. Each VM lists once when it starts. After that it
+ * reads itself if that is its part, or if what others pass on is older than a bound. It asks others while it can't
+ * read.
+ *
+ * <p>Invariant: the age of what is known counts from the answer of the service, through however many VMs it has come.
+ * Confined to the decision loop.
  */
 public final class ReplicaReader implements Part {
-    /** How long a watch may let changes collect before it asks again. */
-    public static final Duration WATCH_PAUSE = Duration.ofMillis(450);
-
     private static final String ALL = "";
     private static final String PROBE = "serving/probe";
+    private static final Duration WAIT = Duration.ofMillis(500);
+    private static final Duration PAUSE = Duration.ofMillis(450);
+    private static final Duration IDLE_CHECK = Duration.ofMillis(50);
     private static final Duration RETRY = Duration.ofMillis(250);
     private static final Duration ASK_PEERS = Duration.ofMillis(400);
+    /** More than the age that a reader reaches between two answers of the service, and what an edge adds. */
+    private static final Duration OLDEST_PASSED_ON = Duration.ofMillis(1_300);
 
-    private final KeyValueStore store;
+    private final PolledKeyValueStore store;
     private final EntryReplica replica;
     private final EntrySource peers;
     private final EntryListener listener;
     private final TimerService timer;
     private final DecisionLog log;
+    private boolean readsItself = true;
     private boolean lost;
     private long lostNanos;
+    private long knownNanos;
+    private Optional<Long> regainedNanos = Optional.empty();
 
     /**
-     * Creates a reader.
+     * Creates a reader that has read nothing.
      *
      * @param store the key-value service
      * @param replica the replica
@@ -47,7 +59,7 @@
      * @param log takes a line when the service is lost or regained
      */
     public ReplicaReader(
-            final KeyValueStore store,
+            final PolledKeyValueStore store,
             final EntryReplica replica,
             final EntrySource peers,
             final EntryListener listener,
@@ -59,6 +71,7 @@
         this.listener = Objects.requireNonNull(listener);
         this.timer = Objects.requireNonNull(timer);
         this.log = Objects.requireNonNull(log);
+        knownNanos = timer.nanoTime();
     }
 
     @Override
@@ -68,7 +81,8 @@
 
     @Override
     public Completable run() {
-        final Completable reading = Completable.defer(this::listAndWatch)
+        final Completable reading = Completable.defer(this::read)
+                .repeat()
                 .retryWhen(errors ->
                         errors.flatMapSingle(error -> timer.after(failed(error)).toSingleDefault(true)));
         final Completable asking = timer.every(ASK_PEERS)
@@ -77,6 +91,45 @@
         return Completable.mergeArray(reading, asking);
     }
 
+    /**
+     * Decides whether this VM reads for others.
+     *
+     * @param reads true if others depend on what it reads
+     */
+    public void readsItself(final boolean reads) {
+        readsItself = reads;
+    }
+
+    /**
+     * Another VM passes on what it knows.
+     *
+     * @param revision the revision up to which nothing is missing together with what this VM knows
+     * @param age how old the knowledge of the other VM is
+     * @param regainedAgo one millisecond more than the time since it could read the service again, zero if it always
+     *     could
+     * @param changes what has changed after the revision of this VM
+     */
+    public void told(
+            final long revision, final Duration age, final Duration regainedAgo, final List<KeyValueChange> changes) {
+        if (!regainedAgo.isZero()) {
+            regainedElsewhere(timer.nanoTime() - regainedAgo.toNanos());
+        }
+        changes.stream().filter(replica::apply).forEach(listener::changed);
+        if (replica.revision() > 0 && revision >= replica.revision()) {
+            replica.complete(revision);
+            known(timer.nanoTime() - age.toNanos());
+        }
+    }
+
+    /**
+     * Returns how old the knowledge of this VM is.
+     *
+     * @return the time since the service has confirmed it
+     */
+    public Duration age() {
+        return Duration.ofNanos(timer.nanoTime() - knownNanos);
+    }
+
     /**
      * Tells whether the service could not be read lately.
      *
@@ -86,48 +139,78 @@
         return lost;
     }
 
+    /**
+     * Returns how long the service answers again after an outage.
+     *
+     * @return the time, if there was an outage
+     */
+    public Optional<Duration> sinceRegained() {
+        return regainedNanos.map(since -> Duration.ofNanos(timer.nanoTime() - since));
+    }
+
+    private void known(final long sinceNanos) {
+        knownNanos = Math.max(knownNanos, sinceNanos);
+    }
+
+    private void regainedElsewhere(final long sinceNanos) {
+        final boolean newer = regainedNanos
+                .map(known -> sinceNanos - known > ASK_PEERS.toNanos())
+                .orElse(true);
+        if (newer && !lost) {
+            regainedNanos = Optional.of(sinceNanos);
+            listener.regained(Duration.ofNanos(timer.nanoTime() - sinceNanos));
+        }
+    }
+
     private void heard() {
+        known(timer.nanoTime());
         if (!lost) {
             return;
         }
         lost = false;
+        regainedNanos = Optional.of(timer.nanoTime());
         log.line("store_regained")
                 .with("revision", replica.revision())
                 .with(
                         "outage_ms",
                         Duration.ofNanos(timer.nanoTime() - lostNanos).toMillis())
                 .write();
-        listener.regained();
+        listener.regained(Duration.ZERO);
     }
 
-    private Completable listAndWatch() {
-        final Completable listed = replica.revision() == 0 ? list() : lost ? probe() : Completable.complete();
-        return listed.andThen(Flowable.defer(() -> store.watch(ALL, replica.revision())))
-                .doOnNext(this::watched)
-                .ignoreElements()
+    private Completable read() {
+        if (replica.revision() == 0) {
+            return list();
+        }
+        if (!readsItself && !lost && age().compareTo(OLDEST_PASSED_ON) < 0) {
+            return timer.after(IDLE_CHECK);
+        }
+        final Completable probed = lost ? probe() : Completable.complete();
+        return probed.andThen(Single.defer(() -> store.changes(ALL, replica.revision(), WAIT)))
+                .doOnSuccess(this::take)
+                .ignoreElement()
                 .onErrorResumeNext(error -> historyGone(error) ? list() : Completable.error(error))
-                .repeat();
+                .andThen(timer.after(PAUSE));
     }
 
     private Completable probe() {
-        return store.read(PROBE).doOnSuccess(entry -> heard()).ignoreElement();
+        return store.read(PROBE).ignoreElement();
     }
 
     private Completable list() {
         return store.list(ALL)
                 .doOnSuccess(snapshot -> {
-                    replica.replaceAll(snapshot).forEach(listener::changed);
+                    final List<KeyValueChange> changes = replica.replaceAll(snapshot);
                     heard();
+                    changes.forEach(listener::changed);
                 })
                 .ignoreElement();
     }
 
-    private void watched(final KeyValueChange change) {
+    private void take(final PolledKeyValueStore.Changes answer) {
         heard();
-        replica.complete(change.revision());
-        if (replica.apply(change)) {
-            listener.changed(change);
-        }
+        answer.changes().stream().filter(replica::apply).forEach(listener::changed);
+        replica.complete(answer.revision());
     }
 
     private Completable askPeers() {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/FlightBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/FlightBook.java
@@ -18,6 +18,7 @@
 public final class FlightBook {
     private final Map<TargetId, Own> own = new HashMap<>();
     private final Map<VmId, Map<TargetId, Use>> peers = new HashMap<>();
+    private final Map<TargetId, Sum> elsewhere = new HashMap<>();
     private final Set<TargetId> changed = new HashSet<>();
 
     /** Creates an empty book. */
@@ -36,23 +37,51 @@
     }
 
     /**
-     * Replaces what another VM has under way at a target.
+     * Replaces what another VM and those behind it have under way at a target.
      *
      * @param vm the other VM
      * @param target the target
-     * @param use what it has there
+     * @param use what they have there
      */
     public void peer(final VmId vm, final TargetId target, final Use use) {
-        peers.computeIfAbsent(vm, ignored -> new HashMap<>()).put(target, use);
+        final Map<TargetId, Use> told = peers.computeIfAbsent(vm, ignored -> new HashMap<>());
+        final Use before = use.requests() == 0 ? told.remove(target) : told.put(target, use);
+        add(target, before == null ? Use.NONE : before, use);
     }
 
     /**
-     * Forgets what another VM has under way.
+     * Returns what another VM has told of a target.
      *
      * @param vm the other VM
+     * @param target the target
+     * @return what it and those behind it have under way there
      */
-    public void forget(final VmId vm) {
-        peers.remove(vm);
+    public Use peer(final VmId vm, final TargetId target) {
+        return peers.getOrDefault(vm, Map.of()).getOrDefault(target, Use.NONE);
+    }
+
+    /**
+     * Forgets what another VM has told.
+     *
+     * @param vm the other VM
+     * @return the targets of which it had told something
+     */
+    public Set<TargetId> forget(final VmId vm) {
+        final Map<TargetId, Use> told = peers.remove(vm);
+        if (told == null) {
+            return Set.of();
+        }
+        told.forEach((target, use) -> add(target, use, Use.NONE));
+        return told.keySet();
+    }
+
+    private void add(final TargetId target, final Use before, final Use after) {
+        final Sum sum = elsewhere.computeIfAbsent(target, ignored -> new Sum());
+        sum.requests += after.requests() - before.requests();
+        sum.tokens += after.tokensAhead() - before.tokensAhead();
+        if (sum.requests == 0) {
+            elsewhere.remove(target);
+        }
     }
 
     /**
@@ -63,16 +92,44 @@
      */
     public Use total(final TargetId target) {
         final Own mine = own.get(target);
-        int requests = mine == null ? 0 : mine.requests;
-        long tokens = mine == null ? 0 : mine.tokens;
-        for (final Map<TargetId, Use> each : peers.values()) {
-            final Use use = each.get(target);
-            if (use != null) {
+        final Sum others = elsewhere.get(target);
+        final int requests = (mine == null ? 0 : mine.requests) + (others == null ? 0 : others.requests);
+        final long tokens = (mine == null ? 0 : mine.tokens) + (others == null ? 0 : others.tokens);
+        return new Use(requests, tokens, Set.of());
+    }
+
+    /**
+     * Returns what this VM and others have under way at a target.
+     *
+     * @param target the target
+     * @param excluded the VMs whose word is left out
+     * @return the requests, prompt tokens and adapters
+     */
+    public Use without(final TargetId target, final Set<VmId> excluded) {
+        final Use mine = own(target);
+        int requests = mine.requests();
+        long tokens = mine.tokensAhead();
+        final Set<AdapterKey> adapters = new HashSet<>(mine.adapters());
+        for (final Map.Entry<VmId, Map<TargetId, Use>> each : peers.entrySet()) {
+            final Use use = each.getValue().get(target);
+            if (use != null && !excluded.contains(each.getKey())) {
                 requests += use.requests();
                 tokens += use.tokensAhead();
+                adapters.addAll(use.adapters());
             }
         }
-        return new Use(requests, tokens, Set.of());
+        return new Use(requests, tokens, adapters);
+    }
+
+    /**
+     * Returns the targets where any VM is known to have something under way.
+     *
+     * @return the targets
+     */
+    public Set<TargetId> known() {
+        final Set<TargetId> known = new HashSet<>(own.keySet());
+        known.addAll(elsewhere.keySet());
+        return known;
     }
 
     /**
@@ -118,15 +175,6 @@
         return taken;
     }
 
-    /**
-     * Returns the targets where this VM has something under way.
-     *
-     * @return the targets
-     */
-    public Set<TargetId> busy() {
-        return Set.copyOf(own.keySet());
-    }
-
     /**
      * What is under way at a target.
      *
@@ -185,6 +233,12 @@
         }
     }
 
+    /** What other VMs have under way at one target. */
+    private static final class Sum {
+        private int requests;
+        private long tokens;
+    }
+
     /** What this VM has under way at one target. */
     private static final class Own {
         private int requests;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
@@ -101,10 +101,14 @@
                 .write();
     }
 
-    /** The key-value service answers again after an outage. */
-    public void regained() {
+    /**
+     * The key-value service answers again after an outage.
+     *
+     * @param ago how long it has done so
+     */
+    public void regained(final Duration ago) {
         outageSeen = true;
-        regainedNanos = timer.nanoTime();
+        regainedNanos = timer.nanoTime() - ago.toNanos();
     }
 
     /**
--- a/balsambank-core/src/test/java/org/balsambank/core/fake/FakeKeyValueStore.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/fake/FakeKeyValueStore.java
@@ -21,7 +21,7 @@
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueException.Reason;
 import org.balsambank.core.port.KeyValueSnapshot;
-import org.balsambank.core.port.KeyValueStore;
+import org.balsambank.core.port.PolledKeyValueStore;
 
 /**
  * The client of a VM for {@link FakeKeyValueService}. A call that does not get through fails after the time limit with
@@ -29,7 +29,7 @@
  *
  * <p>Confined to one thread.
  */
-public final class FakeKeyValueStore implements KeyValueStore {
+public final class FakeKeyValueStore implements PolledKeyValueStore {
     private static final Duration CALL_LIMIT = Duration.ofMillis(1500);
     private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
 
@@ -95,35 +95,35 @@
     public Flowable<KeyValueChange> watch(final String prefix, final long afterRevision) {
         return Flowable.defer(() -> {
             final AtomicLong seen = new AtomicLong(afterRevision);
-            return Single.defer(() -> poll(prefix, seen))
-                    .flattenAsFlowable(changes -> changes)
+            return Single.defer(() -> changes(prefix, seen.get(), WATCH_WAIT))
+                    .doOnSuccess(answer -> seen.set(answer.revision()))
+                    .flattenAsFlowable(Changes::changes)
                     .repeat();
         });
     }
 
-    private <T> Single<T> call(final String name, final Callable<T> effect) {
-        return limited(CALL_LIMIT, Single.create(emitter -> {
-            service.count(name);
-            arrive(emitter, () -> answer(emitter, effect));
-        }));
-    }
-
-    private Single<List<KeyValueChange>> poll(final String prefix, final AtomicLong seen) {
-        return limited(WATCH_WAIT.plus(CALL_LIMIT), Single.<List<KeyValueChange>>create(emitter -> {
+    @Override
+    public Single<Changes> changes(final String prefix, final long afterRevision, final Duration wait) {
+        return limited(wait.plus(CALL_LIMIT), Single.<Changes>create(emitter -> {
             service.count("watch");
             arrive(
                     emitter,
-                    () -> waitForChange(prefix, seen.get(), changes -> {
-                        final long revision = service.revision();
-                        answer(emitter, () -> {
-                            seen.set(revision);
-                            return changes;
-                        });
+                    () -> waitForChange(prefix, afterRevision, wait, changes -> {
+                        final Changes answer = new Changes(changes, service.revision());
+                        answer(emitter, () -> answer);
                     }));
         }));
     }
 
-    private void waitForChange(final String prefix, final long after, final Consumer<List<KeyValueChange>> consumer) {
+    private <T> Single<T> call(final String name, final Callable<T> effect) {
+        return limited(CALL_LIMIT, Single.create(emitter -> {
+            service.count(name);
+            arrive(emitter, () -> answer(emitter, effect));
+        }));
+    }
+
+    private void waitForChange(
+            final String prefix, final long after, final Duration wait, final Consumer<List<KeyValueChange>> consumer) {
         final Runnable[] again = new Runnable[1];
         final boolean[] done = new boolean[1];
         again[0] = () -> {
@@ -145,7 +145,7 @@
                                     consumer.accept(List.of());
                                 }
                             },
-                            WATCH_WAIT.toNanos(),
+                            wait.toNanos(),
                             TimeUnit.NANOSECONDS);
         }
     }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -18,6 +18,7 @@
 import org.balsambank.core.fake.FakeKeyValueService;
 import org.balsambank.core.fake.FakeKeyValueStore;
 import org.balsambank.core.fake.FakeLoop;
+import org.balsambank.core.fake.FakePeerLink;
 import org.balsambank.core.fake.FakePeerNetwork;
 import org.balsambank.core.id.AdapterId;
 import org.balsambank.core.id.BaseModel;
@@ -72,11 +73,17 @@
     final List<FakeSend> sends = new ArrayList<>();
     long wallSkewMillis;
 
+    private final int domains;
     private final FakeLoop operatorLoop = new FakeLoop(clock);
     private final FakeKeyValueStore operator = new FakeKeyValueStore(service, new VmId("operator"), operatorLoop);
     private final Map<TargetId, TargetEntry> entries = new HashMap<>();
 
     TestFleet(final int vmCount, final int runnerCount) {
+        this(vmCount, 1, runnerCount);
+    }
+
+    TestFleet(final int vmCount, final int domains, final int runnerCount) {
+        this.domains = domains;
         for (int i = 0; i < vmCount; i++) {
             start(vm(i));
         }
@@ -229,14 +236,16 @@
     final class Vm {
         final VmId id;
         final FakeLoop loop = new FakeLoop(clock);
+        final FakePeerLink link;
         final ServingCore core;
         private final Disposable running;
 
         Vm(final VmId id) {
             this.id = id;
+            link = network.join(id, loop);
             final ServingSettings settings = new ServingSettings(
                     id,
-                    new FailureDomain("d0"),
+                    new FailureDomain("d" + Integer.parseInt(id.value().substring(2)) % domains),
                     "127.0.0.1",
                     1,
                     0.2,
@@ -250,7 +259,7 @@
                     new FakeKeyValueStore(service, id, loop),
                     facts,
                     new Orders(),
-                    network.join(id, loop),
+                    link,
                     loop.timer(),
                     () -> clock.now(TimeUnit.MILLISECONDS) + wallSkewMillis,
                     DecisionLog.NONE,
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/admission/AdmissionTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/admission/AdmissionTest.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +15,6 @@
 import org.balsambank.core.catalogue.RateUnit;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.TeamId;
-import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.time.SchedulerTimerService;
 import org.balsambank.core.time.TimerService;
@@ -30,6 +32,7 @@
     private static final RateSlack SLACK = new RateSlack(0.1, 17_000);
 
     private final TestScheduler clock = new TestScheduler();
+    private final Map<TeamBuckets, Map<TeamId, Long>> told = new IdentityHashMap<>();
     private final TimerService timer = SchedulerTimerService.ofVirtual(clock);
 
     @Test
@@ -117,12 +120,15 @@
         assertEquals(VMS * 2 * 3, sends.size());
     }
 
-    private static void tell(final List<TeamBuckets> vms) {
-        for (int from = 0; from < vms.size(); from++) {
-            final VmId vm = new VmId("vm" + from);
-            final TeamBuckets teller = vms.get(from);
-            vms.stream().filter(each -> each != teller).forEach(each -> teller.totals()
-                    .forEach((team, units) -> each.peer(vm, team, units)));
+    private void tell(final List<TeamBuckets> vms) {
+        for (final TeamBuckets teller : vms) {
+            teller.totals().forEach((team, units) -> {
+                final Long before =
+                        told.computeIfAbsent(teller, ignored -> new HashMap<>()).put(team, units);
+                vms.stream()
+                        .filter(each -> each != teller)
+                        .forEach(each -> each.admittedElsewhere(team, units - (before == null ? 0 : before)));
+            });
         }
     }
 
@@ -146,6 +152,11 @@
             public int heard() {
                 return heard;
             }
+
+            @Override
+            public int place(final TargetId target) {
+                return 0;
+            }
         };
     }
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/Environment.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/Environment.java
@@ -1,6 +1,6 @@
 package org.balsambank.gateway;
 
-import org.balsambank.core.port.KeyValueStore;
+import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.FactReader;
 import org.balsambank.core.serving.placement.TargetOrders;
 
@@ -12,4 +12,4 @@
  * @param orders speaks to targets about what they hold
  * @param dialect the names and formats of callers and targets
  */
-public record Environment(KeyValueStore store, FactReader facts, TargetOrders orders, Dialect dialect) {}
+public record Environment(PolledKeyValueStore store, FactReader facts, TargetOrders orders, Dialect dialect) {}
