Learn how fast the engines of a service read prompts from their answers

Cause: choice, pacing and the weight of pauses named 19.2 tokens a millisecond, a step of 12 ms, 3,600 and 5,500 unread tokens: figures of the engines of two sites. Change: EngineModel fits step and tokens a millisecond per service by least squares that forget; an answer counts by its relative error and at most twice the estimate. ReadPacing and ExpectedLoss take the longest pause of the route. What is learned stays on each VM; sharing it in digests is open.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -20,6 +20,7 @@
 import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.admission.ColdShare;
 import org.balsambank.core.serving.admission.TeamBuckets;
+import org.balsambank.core.serving.choice.EngineModels;
 import org.balsambank.core.serving.choice.TargetChooser;
 import org.balsambank.core.serving.fleet.AggregationTree;
 import org.balsambank.core.serving.fleet.DigestExchange;
@@ -72,6 +73,7 @@
     private final HoldingBook holdings = new HoldingBook();
     private final FlightBook flights = new FlightBook();
     private final PaceBook paces = new PaceBook();
+    private final EngineModels engines = new EngineModels();
     private final FleetMembers members;
     private final LeaseKeeper lease;
     private final ClockGap gap;
@@ -132,8 +134,8 @@
         final TeamBuckets buckets = new TeamBuckets(timer, members, settings.rateSlack());
         final LossBook losses = new LossBook(timer);
         final ColdShare cold = new ColdShare(timer, members, settings.coldOverage(), settings.coldSlack());
-        final TargetChooser chooser =
-                new TargetChooser(targets, flights, holdings, placement, paces, cold, settings.domain(), timer, random);
+        final TargetChooser chooser = new TargetChooser(
+                targets, flights, holdings, placement, paces, engines, cold, settings.domain(), timer, random);
         reader = new ReplicaReader(store, replica, new PeerEntries(peers, members, replica, random), this, timer, log);
         digests = openDigests(new AggregationTree(self, settings.domain()), buckets, losses, random);
         parts = new RunParts(
@@ -144,6 +146,7 @@
                 holdings,
                 flights,
                 paces,
+                engines,
                 buckets,
                 new ServiceRetries(settings.retryShare(), settings.retryReserve(), members),
                 cold,
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ExpectedLoss.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ExpectedLoss.java
@@ -15,8 +15,9 @@
     private static final double UNSURE_SPAN = 0.9;
     private static final double FROM_STORE = 0.28;
     private static final double PER_MILLI = 1e-4;
-    private static final double PAUSE_TOKENS = 5_500;
-    private static final double PAUSE_SPAN_TOKENS = 5_000;
+    private static final double DEFAULT_PAUSE_MILLIS = 400;
+    private static final double READ_WITHIN_PAUSE = 0.72;
+    private static final double READ_SPAN = 0.65;
     private static final double PAUSE = 0.15;
     private static final int PAUSED_REQUESTS = 4;
 
@@ -51,10 +52,14 @@
      *
      * @param use what is under way at the target
      * @param promptTokens the tokens that come on top
+     * @param model how fast the target reads
+     * @param pauseMillis the longest pause within which a stream is in time, 0 if there is none
      * @return the loss, from 0
      */
-    static double ofPauses(final FlightBook.Use use, final long promptTokens) {
-        final double excess = (use.tokensAhead() + promptTokens - PAUSE_TOKENS) / PAUSE_SPAN_TOKENS;
+    static double ofPauses(
+            final FlightBook.Use use, final long promptTokens, final EngineModel model, final long pauseMillis) {
+        final double within = model.tokensWithin(pauseMillis > 0 ? pauseMillis : DEFAULT_PAUSE_MILLIS);
+        final double excess = ((use.tokensAhead() + promptTokens) / within - READ_WITHIN_PAUSE) / READ_SPAN;
         return PAUSE * Math.min(1, Math.max(0, excess)) * Math.min(PAUSED_REQUESTS, use.requests());
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
@@ -12,19 +12,26 @@
  * target has the ones before them to read until then. Stateless and thread-safe.
  */
 public final class ReadPacing {
-    private static final long MOST_TOKENS = 3_600;
+    private static final double DEFAULT_PAUSE_MILLIS = 400;
+    /** An event of a stream takes two steps, each of which may read as much. */
+    private static final double PART_OF_PAUSE = 0.47;
 
     private ReadPacing() {}
 
     /**
      * Tells how long to wait.
      *
+     * @param model how fast the target reads
      * @param use what is under way at the target, requests that wait to be sent included
      * @param promptTokens the tokens of the request
+     * @param pauseMillis the longest pause within which a stream is in time, 0 if there is none
      * @return the time until the target has few enough tokens to read, zero if it has them now
      */
-    public static Duration wait(final FlightBook.Use use, final long promptTokens) {
-        final long excess = Math.min(use.tokensAhead(), use.tokensAhead() + promptTokens - MOST_TOKENS);
-        return Duration.ofMillis(Math.round(Math.max(0, excess) / FirstPieceEstimate.TOKENS_READ_PER_MILLI));
+    public static Duration wait(
+            final EngineModel model, final FlightBook.Use use, final long promptTokens, final long pauseMillis) {
+        final double pause = pauseMillis > 0 ? pauseMillis : DEFAULT_PAUSE_MILLIS;
+        final double most = model.tokensWithin(PART_OF_PAUSE * pause);
+        final double excess = Math.min(use.tokensAhead(), use.tokensAhead() + promptTokens - most);
+        return Duration.ofMillis(Math.round(Math.max(0, excess) / model.tokensWithin(1)));
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -45,6 +45,7 @@
     private final HoldingBook holdings;
     private final Placement placement;
     private final PaceBook paces;
+    private final EngineModels engines;
     private final ColdShare cold;
     private final FailureDomain domain;
     private final TimerService timer;
@@ -58,6 +59,7 @@
      * @param holdings what targets hold
      * @param placement tells to which targets no orders can be given
      * @param paces how slow targets are
+     * @param engines how fast targets read prompts
      * @param cold what cold targets bear
      * @param domain the failure domain of this VM
      * @param timer gives the time
@@ -69,6 +71,7 @@
             final HoldingBook holdings,
             final Placement placement,
             final PaceBook paces,
+            final EngineModels engines,
             final ColdShare cold,
             final FailureDomain domain,
             final TimerService timer,
@@ -78,6 +81,7 @@
         this.holdings = Objects.requireNonNull(holdings);
         this.placement = Objects.requireNonNull(placement);
         this.paces = Objects.requireNonNull(paces);
+        this.engines = Objects.requireNonNull(engines);
         this.cold = Objects.requireNonNull(cold);
         this.domain = Objects.requireNonNull(domain);
         this.timer = Objects.requireNonNull(timer);
@@ -169,7 +173,8 @@
         final HeldAdapters held = holdings.of(target);
         final boolean there =
                 wanted.adapter().isEmpty() || holds(held, wanted.adapter().get());
-        final double read = FirstPieceEstimate.millis(use, wanted.promptTokens());
+        final EngineModel engine = engines.of(wanted.service().name());
+        final double read = engine.millis(use, wanted.promptTokens());
         double load = 0;
         double loss = FAILURE_LOSS * paces.failures(target.id());
         if (!there) {
@@ -188,7 +193,8 @@
         if (use.requests() >= spec.slots()) {
             time += FULL_MILLIS;
         }
-        loss += ExpectedLoss.ofTime(time, wanted.objectiveMillis()) + ExpectedLoss.ofPauses(use, wanted.promptTokens());
+        loss += ExpectedLoss.ofTime(time, wanted.objectiveMillis())
+                + ExpectedLoss.ofPauses(use, wanted.promptTokens(), engine, wanted.pauseMillis());
         return new Choice(target, !there, time, read, loss);
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Wanted.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/Wanted.java
@@ -17,6 +17,7 @@
  * @param promptTokens the tokens to read before the first piece
  * @param outputTokens the most tokens to write
  * @param objectiveMillis the time within which the first piece is in time, 0 if there is none
+ * @param pauseMillis the longest pause within which a stream is in time, 0 if there is none
  */
 public record Wanted(
         ServiceSpec service,
@@ -24,4 +25,5 @@
         Optional<AdapterKey> adapter,
         long promptTokens,
         long outputTokens,
-        long objectiveMillis) {}
+        long objectiveMillis,
+        long pauseMillis) {}
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -12,6 +12,7 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.choice.Choice;
+import org.balsambank.core.serving.choice.EngineModel;
 import org.balsambank.core.serving.choice.ReadPacing;
 import org.balsambank.core.serving.choice.Wanted;
 import org.balsambank.core.serving.placement.AdapterKey;
@@ -54,6 +55,7 @@
     private TargetSender.Send send;
     private FlightBook.Flight flight;
     private Choice choice;
+    private FlightBook.Use atSend;
     private long sentNanos;
     private int sends;
     private int runs;
@@ -153,7 +155,8 @@
                 call.adapter(),
                 call.promptTokens(),
                 call.outputTokens(),
-                objectiveLeft());
+                objectiveLeft(),
+                resolved.route().gapMillis());
         final Optional<Choice> chosen = parts.chooser().choose(wanted, excluded);
         if (chosen.isEmpty()) {
             giveUp("no target");
@@ -249,9 +252,11 @@
     /** Takes its place at the target, and sends once the target has few enough tokens to read. */
     private void place(final OptionalLong loadedVersion) {
         final TargetId target = choice.target().id();
+        atSend = parts.flights().total(target);
         final Duration wait = resolved.service().engine().isEmpty()
                 ? Duration.ZERO
-                : ReadPacing.wait(parts.flights().total(target), call.promptTokens());
+                : ReadPacing.wait(
+                        engine(), atSend, call.promptTokens(), resolved.route().gapMillis());
         flight = parts.flights().begin(target, call.promptTokens(), call.adapter());
         pacedMillis = wait.toMillis();
         if (wait.isZero()) {
@@ -385,6 +390,10 @@
         }
     }
 
+    private EngineModel engine() {
+        return parts.engines().of(resolved.service().name());
+    }
+
     private long millisSince(final long nanos) {
         return Duration.ofNanos(parts.timer().nanoTime() - nanos).toMillis();
     }
@@ -432,7 +441,11 @@
                 return;
             }
             final double actual = (parts.timer().nanoTime() - sentNanos) / 1e6;
-            parts.paces().firstPiece(choice.target().id(), choice.readMillis() - pacedMillis, actual);
+            final double expected = resolved.service().engine().isEmpty()
+                    ? choice.readMillis()
+                    : engine().millis(atSend, call.promptTokens()) - pacedMillis;
+            parts.paces().firstPiece(choice.target().id(), expected, actual);
+            engine().answered(atSend, call.promptTokens(), actual + pacedMillis);
             parts.meters()
                     .firstPiece(resolved.service().name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RunParts.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RunParts.java
@@ -6,6 +6,7 @@
 import org.balsambank.core.serving.PlanBook;
 import org.balsambank.core.serving.admission.ColdShare;
 import org.balsambank.core.serving.admission.TeamBuckets;
+import org.balsambank.core.serving.choice.EngineModels;
 import org.balsambank.core.serving.choice.TargetChooser;
 import org.balsambank.core.serving.fleet.LossBook;
 import org.balsambank.core.serving.placement.HoldingBook;
@@ -25,6 +26,7 @@
  * @param holdings what targets hold
  * @param flights what is under way
  * @param paces how slow targets are
+ * @param engines how fast targets read prompts
  * @param buckets the rates of teams
  * @param retries the retries of services
  * @param cold what cold targets bear
@@ -42,6 +44,7 @@
         HoldingBook holdings,
         FlightBook flights,
         PaceBook paces,
+        EngineModels engines,
         TeamBuckets buckets,
         ServiceRetries retries,
         ColdShare cold,
--- a/balsambank-standin/src/main/java/org/balsambank/standin/experiment/reading/ReadingExperiment.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/experiment/reading/ReadingExperiment.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 
+import org.balsambank.core.serving.choice.EngineModel;
 import org.balsambank.core.serving.choice.ReadPacing;
 
 /**
@@ -16,6 +17,7 @@
     private static final int VMS = 6;
     private static final int TARGETS = 13;
     private static final int ADAPTERS = 3_000;
+    private static final long PAUSE_MILLIS = 400;
 
     private ReadingExperiment() {}
 
@@ -32,8 +34,11 @@
     public static boolean run(
             final double rate, final int seconds, final int digestMillis, final long seed, final PrintStream out) {
         final ReadingSettings settings = new ReadingSettings(VMS, TARGETS, ADAPTERS, rate, seconds, digestMillis, seed);
+        final EngineModel engine = new EngineModel();
         final ReadingResult atOnce = new ReadingRun(settings, (use, promptTokens) -> Duration.ZERO).run("at once");
-        final ReadingResult paced = new ReadingRun(settings, ReadPacing::wait).run("balsambank");
+        final ReadingResult paced = new ReadingRun(
+                        settings, (use, promptTokens) -> ReadPacing.wait(engine, use, promptTokens, PAUSE_MILLIS))
+                .run("balsambank");
         out.printf("%s%n", settings);
         out.println("reading     answers paused  long  late p50ms p95ms p99ms");
         List.of(atOnce, paced).forEach(result -> print(result, out));
