--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 
+import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.junit.jupiter.api.Test;
@@ -103,31 +104,33 @@
         fleet.plan(2, List.of("another-key"), 1_000_000);
         fleet.advance(1_950);
         for (final VmId vm : fleet.vms.keySet()) {
-            assertEquals(
-                    1, fleet.call(vm, "/unsafe/", Optional.empty(), 10).refusals.size(), vm + " still takes the key");
+            assertEquals(ErrorKind.UNAUTHENTICATED, keyedCall(fleet, vm), vm + " still takes the key");
         }
     }
 
     @Test
-    void aVmWhoseReaderIsCutOffFromTheKeyValueServiceLearnsOfAWithdrawnKeyWithinTheBound() {
+    void vmsWhoseReaderIsCutOffFromTheKeyValueServiceLearnOfAWithdrawnKeyWithinTheBound() {
         for (int cut = 0; cut < 12; cut++) {
             final TestFleet fleet = new TestFleet(24, 2, TARGETS);
-            fleet.service.cutOff(mostCalled(fleet), true);
+            final VmId reader = mostCalled(fleet);
+            fleet.service.cutOff(reader, true);
             fleet.advance(137L * cut);
             fleet.plan(2, List.of("another-key"), 1_000_000);
             fleet.advance(1_950);
-            for (int vm = 0; vm < 24; vm++) {
-                final VmId id = TestFleet.vm(vm);
-                assertEquals(
-                        1,
-                        fleet.call(id, "/unsafe/", Optional.empty(), 10)
-                                .refusals
-                                .size(),
-                        id + " cut " + cut);
+            for (final VmId vm : fleet.vms.keySet()) {
+                if (!vm.equals(reader)) {
+                    assertEquals(ErrorKind.UNAUTHENTICATED, keyedCall(fleet, vm), vm + " cut " + cut);
+                }
             }
+            fleet.advance(3_000);
+            assertEquals(ErrorKind.UNAUTHENTICATED, keyedCall(fleet, reader), "the reader, cut " + cut);
         }
     }
 
+    private static ErrorKind keyedCall(final TestFleet fleet, final VmId vm) {
+        return fleet.call(vm, "/unsafe/", Optional.empty(), 10).refusal();
+    }
+
     private static TestFleet busyFleet(final int vms) {
         final TestFleet fleet = new TestFleet(vms, DOMAINS, TARGETS);
         keepBusy(fleet, 1_000);
--- a/balsambank-peer/src/main/java/org/balsambank/peer/NettyPeerLink.java
+++ b/balsambank-peer/src/main/java/org/balsambank/peer/NettyPeerLink.java
@@ -40,8 +40,8 @@
 /**
  * Links to the other VMs over TCP: one connection from each VM to each that it calls.
  *
- * <p>Confined to the decision loop; sockets are served by it or on a thread of their own. A closed link is replaced by a
- * new one at the next call.
+ * <p>Confined to the decision loop; sockets are served by it or on a thread of their own. A closed link is replaced by
+ * a new one at the next call.
  */
 public final class NettyPeerLink implements PeerLink {
     private static final int FRAME_OVERHEAD_BYTES = 64;
