--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
@@ -23,14 +23,13 @@
  * and counted, and the count is written with the next line that fits.
  */
 public final class JsonLog implements DecisionLog {
+    /** How long lines collect before they are written together. */
+    private static final Duration COLLECT = Duration.ofMillis(100);
     private static final int MAX_WAITING = 4_096;
     private static final int LINE_CHARS = 256;
 
     private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
     private final AtomicLong dropped = new AtomicLong();
-    /** How long lines collect before they are written together. */
-    private static final Duration COLLECT = Duration.ofMillis(100);
-
     private final OutputStream out;
     private final LongSupplier wallMillis;
 
