Count the age of what another VM tells from when it was asked

Cause: a VM that stood still for more than a second with the answer of its parent in its socket took the entries in it for fresh when it went on, and asked nobody for up to 1.2 s: a withdrawn key was taken meanwhile. Change: the child adds the time since it asked.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -296,7 +296,7 @@
         if (parent.equals(Optional.of(edge.other()))) {
             reader.told(
                     digest.getRevision(),
-                    Duration.ofMillis(digest.getAgeMillis()),
+                    Duration.ofNanos(timer.nanoTime() - calledNanos).plusMillis(digest.getAgeMillis()),
                     Duration.ofMillis(digest.getRegainedMillis()),
                     DigestCodec.changes(digest.getEntriesList()));
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
@@ -24,6 +24,7 @@
  * read.
  *
  * <p>Invariant: the age of what is known counts from the answer of the service, through however many VMs it has come.
+ * What another VM tells counts from when it was asked, so that an answer that has waited is not taken for a fresh one.
  * Confined to the decision loop.
  */
 public final class ReplicaReader implements Part {
@@ -102,7 +103,7 @@
      * Another VM passes on what it knows.
      *
      * @param revision the revision up to which nothing is missing together with what this VM knows
-     * @param age how old the knowledge of the other VM is
+     * @param age how old the knowledge of the other VM was, and the time since it was asked
      * @param regainedAgo one millisecond more than the time since it could read the service again, zero if it always
      *     could
      * @param changes what has changed after the revision of this VM
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
@@ -1,5 +1,6 @@
 package org.balsambank.core.serving;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -127,6 +128,29 @@
         }
     }
 
+    /** The answer of the parent arrives, and the VM stands still for more than a second before it reads it. */
+    @Test
+    void anAnswerThatWaitedWhileAVmStoodStillIsNotTakenForFresh() {
+        for (int offset = 0; offset < 12; offset++) {
+            final TestFleet fleet = new TestFleet(7, 1, TARGETS);
+            final VmId reader = mostCalled(fleet);
+            final VmId still = fleet.vms.keySet().stream()
+                    .filter(vm -> !vm.equals(reader))
+                    .findFirst()
+                    .orElseThrow();
+            fleet.network.delay(Duration.ofMillis(20), Duration.ofMillis(40));
+            fleet.advance(500 + 11L * offset);
+            fleet.vms.get(still).loop.pause();
+            fleet.advance(200);
+            fleet.network.cutOff(still, true);
+            fleet.plan(2, List.of("another-key"), 1_000_000);
+            fleet.advance(1_500);
+            fleet.vms.get(still).loop.resume();
+            fleet.advance(600);
+            assertEquals(ErrorKind.UNAUTHENTICATED, keyedCall(fleet, still), "offset " + offset);
+        }
+    }
+
     private static ErrorKind keyedCall(final TestFleet fleet, final VmId vm) {
         return fleet.call(vm, "/unsafe/", Optional.empty(), 10).refusal();
     }
