--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
@@ -25,6 +25,7 @@
 public final class JsonLog implements DecisionLog {
     /** How long lines collect before they are written together. */
     private static final Duration COLLECT = Duration.ofMillis(100);
+
     private static final int MAX_WAITING = 4_096;
     private static final int LINE_CHARS = 256;
 
