Let one piece of code serve where the change had written two

A service without an engine no longer fits a model that nobody reads. - HoldingBook.told stood for three things. - Pages: what counts as untold, pacing by the learned model, lines written together.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/EngineModel.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/EngineModel.java
@@ -16,6 +16,7 @@
 public final class EngineModel {
     private static final double FIRST_TOKENS_PER_MILLI = 20;
     private static final double FIRST_STEP_MILLIS = 12;
+    private static final double DEFAULT_PAUSE_MILLIS = 400;
     private static final double MIN_TOKENS_PER_MILLI = 1;
     private static final double MAX_TOKENS_PER_MILLI = 1_000;
     private static final double MIN_STEP_MILLIS = 1;
@@ -67,6 +68,16 @@
         return millis * tokensPerMilli;
     }
 
+    /**
+     * Returns the prompt tokens that a target reads within a pause of a stream.
+     *
+     * @param pauseMillis the longest pause within which the stream is in time, 0 if there is none
+     * @return the tokens
+     */
+    public double tokensWithinPause(final long pauseMillis) {
+        return tokensWithin(pauseMillis > 0 ? pauseMillis : DEFAULT_PAUSE_MILLIS);
+    }
+
     /**
      * Learns from an answer.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ExpectedLoss.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ExpectedLoss.java
@@ -15,7 +15,6 @@
     private static final double UNSURE_SPAN = 0.9;
     private static final double FROM_STORE = 0.28;
     private static final double PER_MILLI = 1e-4;
-    private static final double DEFAULT_PAUSE_MILLIS = 400;
     private static final double READ_WITHIN_PAUSE = 0.72;
     private static final double READ_SPAN = 0.65;
     private static final double PAUSE = 0.15;
@@ -58,7 +57,7 @@
      */
     static double ofPauses(
             final FlightBook.Use use, final long promptTokens, final EngineModel model, final long pauseMillis) {
-        final double within = model.tokensWithin(pauseMillis > 0 ? pauseMillis : DEFAULT_PAUSE_MILLIS);
+        final double within = model.tokensWithinPause(pauseMillis);
         final double excess = ((use.tokensAhead() + promptTokens) / within - READ_WITHIN_PAUSE) / READ_SPAN;
         return PAUSE * Math.min(1, Math.max(0, excess)) * Math.min(PAUSED_REQUESTS, use.requests());
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReadPacing.java
@@ -12,7 +12,6 @@
  * target has the ones before them to read until then. Stateless and thread-safe.
  */
 public final class ReadPacing {
-    private static final double DEFAULT_PAUSE_MILLIS = 400;
     /** An event of a stream takes two steps, each of which may read as much. */
     private static final double PART_OF_PAUSE = 0.47;
 
@@ -29,8 +28,7 @@
      */
     public static Duration wait(
             final EngineModel model, final FlightBook.Use use, final long promptTokens, final long pauseMillis) {
-        final double pause = pauseMillis > 0 ? pauseMillis : DEFAULT_PAUSE_MILLIS;
-        final double most = model.tokensWithin(PART_OF_PAUSE * pause);
+        final double most = PART_OF_PAUSE * model.tokensWithinPause(pauseMillis);
         final double excess = Math.min(use.tokensAhead(), use.tokensAhead() + promptTokens - most);
         return Duration.ofMillis(Math.round(Math.max(0, excess) / model.tokensWithin(1)));
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/AggregationTree.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/AggregationTree.java
@@ -54,17 +54,16 @@
         final VmEntry own = new VmEntry(self, domain, "", 0, false);
         final List<VmEntry> before = others.stream()
                 .filter(vm -> ORDER.compare(vm, own) < 0 && reachable.test(vm.id()))
-                .sorted(ORDER)
                 .toList();
         if (others.size() > MAX_CHILDREN_OF_STAR) {
             final Optional<VmEntry> head = before.stream()
                     .filter(vm -> vm.failureDomain().equals(domain))
-                    .findFirst();
+                    .min(ORDER);
             if (head.isPresent()) {
                 return head.map(VmEntry::id);
             }
         }
-        return before.stream().findFirst().map(VmEntry::id);
+        return before.stream().min(ORDER).map(VmEntry::id);
     }
 
     /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -66,6 +66,7 @@
     private final Map<TeamId, Long> collectedUnits = new HashMap<>();
     private Optional<VmId> parent = Optional.empty();
     private Optional<VmId> formerParent = Optional.empty();
+    private boolean speaksForDomain;
     private boolean calling;
     private boolean quiet;
     private long calledNanos;
@@ -132,7 +133,8 @@
         forgetSilent();
         collect();
         chooseParent();
-        reader.readsItself(parent.isEmpty() || tree.speaksForDomain(members.others(), parent.get()));
+        speaksForDomain = parent.isPresent() && tree.speaksForDomain(members.others(), parent.get());
+        reader.readsItself(parent.isEmpty() || speaksForDomain);
         if (parent.isPresent() && !calling && timer.nanoTime() - calledNanos >= interval()) {
             call(edges.get(parent.get()));
         }
@@ -148,7 +150,7 @@
     }
 
     private long interval() {
-        if (tree.speaksForDomain(members.others(), parent.get())) {
+        if (speaksForDomain) {
             return HEAD_NANOS;
         }
         return quiet && !edges.get(parent.get()).pending() ? QUIET_NANOS : MEMBER_NANOS;
@@ -176,6 +178,10 @@
         calledNanos = now - MEMBER_NANOS;
     }
 
+    private boolean isParent(final TreeEdge edge) {
+        return parent.filter(edge.other()::equals).isPresent();
+    }
+
     private TreeEdge open(final VmId vm) {
         final TreeEdge edge = new TreeEdge(vm, random.nextLong() | 1, timer.nanoTime());
         edges.put(vm, edge);
@@ -246,8 +252,8 @@
                 .forEach((team, units) -> digest.addTeams(
                         TeamUse.newBuilder().setTeam(team.value()).setUnits(units)));
         final Set<TargetId> changedHoldings = edge.takeHoldings();
-        for (final TargetId target : full ? holdings.told() : changedHoldings) {
-            holdings.told(target).ifPresent(held -> digest.addHoldings(DigestCodec.holding(target, held)));
+        for (final TargetId target : full ? holdings.targets() : changedHoldings) {
+            holdings.find(target).ifPresent(held -> digest.addHoldings(DigestCodec.holding(target, held)));
         }
         digest.addAllBroken(edge.takeBroken());
         final long regained =
@@ -257,7 +263,7 @@
                 .setRevision(replica.revision())
                 .setAgeMillis((int) Math.min(Integer.MAX_VALUE, reader.age().toMillis()))
                 .setRegainedMillis(regained);
-        if (!parent.equals(Optional.of(edge.other())) && edge.revision() > 0) {
+        if (!isParent(edge) && edge.revision() > 0) {
             replica.changesAfter(edge.revision()).forEach(change -> digest.addEntries(DigestCodec.entry(change)));
         }
         edge.stamp(digest);
@@ -266,7 +272,7 @@
 
     /** Returns whose contributions an edge must not be told: its own, and towards a parent those of both parents. */
     private Set<VmId> notOnThisSide(final TreeEdge edge) {
-        final boolean up = parent.equals(Optional.of(edge.other()));
+        final boolean up = isParent(edge);
         return up && formerParent.isPresent() ? Set.of(edge.other(), formerParent.get()) : Set.of(edge.other());
     }
 
@@ -293,7 +299,7 @@
         digest.getTeamsList().forEach(use -> takeUnits(edge, use));
         digest.getHoldingsList().forEach(holding -> takeHolding(edge, holding));
         digest.getBrokenList().forEach(loss -> takeBroken(edge, loss));
-        if (parent.equals(Optional.of(edge.other()))) {
+        if (isParent(edge)) {
             reader.told(
                     digest.getRevision(),
                     Duration.ofNanos(timer.nanoTime() - calledNanos).plusMillis(digest.getAgeMillis()),
@@ -361,7 +367,7 @@
     private void forgetSilent() {
         final long now = timer.nanoTime();
         for (final TreeEdge edge : List.copyOf(edges.values())) {
-            if (now - edge.heardNanos() > SILENT_NANOS && !parent.equals(Optional.of(edge.other()))) {
+            if (now - edge.heardNanos() > SILENT_NANOS && !isParent(edge)) {
                 drop(edge);
             }
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -38,6 +38,7 @@
     private final DecisionLog log;
     private final Map<String, VmEntry> byKey = new TreeMap<>();
     private final Map<VmId, Long> goneNanos = new HashMap<>();
+    private List<VmEntry> others = List.of();
     private Consumer<Collection<VmEntry>> listener = members -> {};
     private int heard = 1;
     private int readers;
@@ -72,7 +73,11 @@
      */
     public void changed(final KeyValueChange change) {
         take(change);
-        listener.accept(others());
+        final Map<VmId, VmEntry> byId = new TreeMap<>();
+        byKey.values().forEach(each -> byId.put(each.id(), each));
+        byId.remove(self);
+        others = List.copyOf(byId.values());
+        listener.accept(others);
     }
 
     /**
@@ -136,10 +141,7 @@
      * @return one entry for each
      */
     public Collection<VmEntry> others() {
-        final Map<VmId, VmEntry> others = new TreeMap<>();
-        byKey.values().forEach(each -> others.put(each.id(), each));
-        others.remove(self);
-        return others.values();
+        return others;
     }
 
     /**
@@ -175,12 +177,8 @@
 
     @Override
     public int place(final TargetId target) {
-        final long subject = RendezvousHash.of(target.value());
-        final long own = RendezvousHash.score(subject, RendezvousHash.of(self.value()));
-        return (int) others().stream()
-                .filter(each -> RendezvousHash.score(
-                                subject, RendezvousHash.of(each.id().value()))
-                        > own)
-                .count();
+        return RendezvousHash.place(
+                target.value(), self.value(), others().stream().map(each -> each.id()
+                        .value()));
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
@@ -29,12 +29,12 @@
     private final Set<TargetId> changedHoldings = new HashSet<>();
     private final Set<TeamId> changedTeams = new HashSet<>();
     private final Map<TeamId, Long> units = new HashMap<>();
-    private Map<TeamId, Long> sentUnits = Map.of();
-    private Map<TeamId, Long> confirmedUnits = Map.of();
     private final Map<TargetId, Set<AdapterKey>> toldAdapters = new HashMap<>();
     private final List<BrokenRuns> broken = new ArrayList<>();
     private final List<BrokenRuns> toldBroken = new ArrayList<>();
     private final Map<TeamId, Long> heardUnits = new HashMap<>();
+    private Map<TeamId, Long> sentUnits = Map.of();
+    private Map<TeamId, Long> confirmedUnits = Map.of();
     private long toldNumber;
     private boolean full = true;
     private long heardSession;
@@ -120,8 +120,10 @@
         if (!full) {
             told.keySet().retainAll(changedTeams);
         }
-        changedTeams.clear();
-        sentUnits = Map.copyOf(units);
+        if (!changedTeams.isEmpty()) {
+            sentUnits = Map.copyOf(units);
+            changedTeams.clear();
+        }
         return told;
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/HoldingBook.java
@@ -48,7 +48,7 @@
      *
      * @return the targets
      */
-    public Set<TargetId> told() {
+    public Set<TargetId> targets() {
         return Set.copyOf(held.keySet());
     }
 
@@ -58,7 +58,7 @@
      * @param target the target
      * @return what it holds, if something was told since its start
      */
-    public Optional<HeldAdapters> told(final TargetId target) {
+    public Optional<HeldAdapters> find(final TargetId target) {
         return Optional.ofNullable(held.get(target)).filter(known -> known.fence() > 0);
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetClaims.java
@@ -3,10 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -162,14 +160,7 @@
     }
 
     private int turn(final TargetId target, final Collection<VmId> vms) {
-        final long subject = RendezvousHash.of(target.value());
-        final List<VmId> order = vms.stream()
-                .sorted(Comparator.<VmId>comparingLong(
-                                vm -> RendezvousHash.score(subject, RendezvousHash.of(vm.value())))
-                        .reversed())
-                .toList();
-        final int place = order.indexOf(self);
-        return place < 0 ? order.size() : place;
+        return RendezvousHash.place(target.value(), self.value(), vms.stream().map(VmId::value));
     }
 
     /** A claim as written. */
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/replica/ReplicaReader.java
@@ -113,7 +113,7 @@
         if (!regainedAgo.isZero()) {
             regainedElsewhere(timer.nanoTime() - regainedAgo.toNanos());
         }
-        changes.stream().filter(replica::apply).forEach(listener::changed);
+        apply(changes);
         if (replica.revision() > 0 && revision >= replica.revision()) {
             replica.complete(revision);
             known(timer.nanoTime() - age.toNanos());
@@ -208,10 +208,14 @@
 
     private void take(final PolledKeyValueStore.Changes answer) {
         heard();
-        answer.changes().stream().filter(replica::apply).forEach(listener::changed);
+        apply(answer.changes());
         replica.complete(answer.revision());
     }
 
+    private void apply(final List<KeyValueChange> changes) {
+        changes.stream().filter(replica::apply).forEach(listener::changed);
+    }
+
     private Completable askPeersWhile(final BooleanSupplier needed) {
         return timer.every(ASK_PEERS)
                 .takeWhile(tick -> needed.getAsBoolean())
@@ -220,7 +224,7 @@
 
     private Completable askPeers() {
         return peers.changesAfter(replica.revision())
-                .doOnSuccess(changes -> changes.stream().filter(replica::apply).forEach(listener::changed))
+                .doOnSuccess(this::apply)
                 .ignoreElement()
                 .onErrorComplete();
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestRun.java
@@ -441,11 +441,12 @@
                 return;
             }
             final double actual = (parts.timer().nanoTime() - sentNanos) / 1e6;
-            final double expected = resolved.service().engine().isEmpty()
-                    ? choice.readMillis()
-                    : engine().millis(atSend, call.promptTokens()) - pacedMillis;
+            double expected = choice.readMillis();
+            if (resolved.service().engine().isPresent()) {
+                expected = engine().millis(atSend, call.promptTokens()) - pacedMillis;
+                engine().answered(atSend, call.promptTokens(), actual + pacedMillis);
+            }
             parts.paces().firstPiece(choice.target().id(), expected, actual);
-            engine().answered(atSend, call.promptTokens(), actual + pacedMillis);
             parts.meters()
                     .firstPiece(resolved.service().name().value(), Duration.ofMillis(millisSince(call.arrivedNanos())));
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/target/RendezvousHash.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/RendezvousHash.java
@@ -1,5 +1,7 @@
 package org.balsambank.core.target;
 
+import java.util.stream.Stream;
+
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -22,6 +24,20 @@
         return HASH.hashChars(text);
     }
 
+    /**
+     * Returns the place of one candidate among others.
+     *
+     * @param subject the subject
+     * @param own the candidate
+     * @param candidates the candidates, with that one or without
+     * @return the number of those that come before it
+     */
+    public static int place(final String subject, final String own, final Stream<String> candidates) {
+        final long hash = of(subject);
+        final long score = score(hash, of(own));
+        return (int) candidates.filter(each -> score(hash, of(each)) > score).count();
+    }
+
     /**
      * Scores a pair.
      *
--- a/balsambank-core/src/test/java/org/balsambank/core/fake/FakeKeyValueStore.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/fake/FakeKeyValueStore.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
@@ -93,13 +92,7 @@
 
     @Override
     public Flowable<KeyValueChange> watch(final String prefix, final long afterRevision) {
-        return Flowable.defer(() -> {
-            final AtomicLong seen = new AtomicLong(afterRevision);
-            return Single.defer(() -> changes(prefix, seen.get(), WATCH_WAIT))
-                    .doOnSuccess(answer -> seen.set(answer.revision()))
-                    .flattenAsFlowable(Changes::changes)
-                    .repeat();
-        });
+        return watch(prefix, afterRevision, WATCH_WAIT);
     }
 
     @Override
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
@@ -65,15 +65,7 @@
         final TestFleet fleet = busyFleet(95);
         keepBusy(fleet, 2_000);
         fleet.advance(OLDEST_MILLIS);
-        final Map<TargetId, Integer> actual = underWay(fleet);
-        for (final TestFleet.Vm vm : fleet.vms.values()) {
-            fleet.runners
-                    .keySet()
-                    .forEach(target -> assertEquals(
-                            actual.getOrDefault(target, 0),
-                            vm.core.flights().total(target).requests(),
-                            vm.id + " " + target));
-        }
+        assertSumsAreRight(fleet);
     }
 
     @Test
@@ -84,15 +76,7 @@
             keepBusy(fleet, 200);
         }
         fleet.advance(TAKE_OVER_MILLIS);
-        final Map<TargetId, Integer> actual = underWay(fleet);
-        for (final TestFleet.Vm vm : fleet.vms.values()) {
-            fleet.runners
-                    .keySet()
-                    .forEach(target -> assertEquals(
-                            actual.getOrDefault(target, 0),
-                            vm.core.flights().total(target).requests(),
-                            vm.id + " " + target));
-        }
+        assertSumsAreRight(fleet);
     }
 
     @Test
@@ -155,6 +139,18 @@
         return fleet.call(vm, "/unsafe/", Optional.empty(), 10).refusal();
     }
 
+    private static void assertSumsAreRight(final TestFleet fleet) {
+        final Map<TargetId, Integer> actual = underWay(fleet);
+        for (final TestFleet.Vm vm : fleet.vms.values()) {
+            fleet.runners
+                    .keySet()
+                    .forEach(target -> assertEquals(
+                            actual.getOrDefault(target, 0),
+                            vm.core.flights().total(target).requests(),
+                            vm.id + " " + target));
+        }
+    }
+
     private static TestFleet busyFleet(final int vms) {
         final TestFleet fleet = new TestFleet(vms, DOMAINS, TARGETS);
         keepBusy(fleet, 1_000);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
@@ -74,11 +74,7 @@
 
     /** Writes what waits. */
     public void flush() {
-        synchronized (out) {
-            final List<String> lines = new ArrayList<>();
-            waiting.drainTo(lines);
-            write(lines);
-        }
+        writeAfter(List.of());
     }
 
     private void writeAll() {
@@ -86,18 +82,21 @@
             while (true) {
                 final String first = waiting.take();
                 Thread.sleep(COLLECT.toMillis());
-                synchronized (out) {
-                    final List<String> lines = new ArrayList<>();
-                    lines.add(first);
-                    waiting.drainTo(lines);
-                    write(lines);
-                }
+                writeAfter(List.of(first));
             }
         } catch (final InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void writeAfter(final List<String> taken) {
+        synchronized (out) {
+            final List<String> lines = new ArrayList<>(taken);
+            waiting.drainTo(lines);
+            write(lines);
+        }
+    }
+
     private void write(final List<String> lines) {
         final StringBuilder text = new StringBuilder();
         lines.forEach(line -> text.append(line).append('\n'));
