Log how late the loop is, what a request waited for when its caller left, and each cancelled attempt

The logs could not tell the hypotheses apart: a late decision loop, a connection that is not read, an attempt whose connection is not closed.

Added, without a change of what is decided: the histogram balsambank_serving_loop_late_seconds and one line loop_late for each time that the loop is late by 250 ms or more (each delayed task of the loop measures its own lateness); send_ended with the end CANCELLED and whether a byte of the request may have reached the target; the stage in why of caller_gone; reading_paused. LoopLatenessTest holds that one stall gives one line.

Run: LoopLatenessTest, RequestExecutionTest, PrefillPacingTest, TargetResponseTest.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -122,8 +122,19 @@
         if (ended) {
             return;
         }
+        final String stage = stage();
         cancelAttempt();
-        finish("caller_gone", "");
+        finish("caller_gone", stage);
+    }
+
+    private String stage() {
+        if (responding) {
+            return "response in progress";
+        }
+        if (currentAttempt != null) {
+            return "attempt in progress";
+        }
+        return inFlight == null ? "waiting for the adapter" : "waiting to be sent";
     }
 
     private void resolve() throws RequestRejectedException {
@@ -401,8 +412,14 @@
 
     private void cancelAttempt() {
         if (currentAttempt != null) {
-            currentAttempt.cancel();
+            final boolean written = currentAttempt.cancel();
             currentAttempt = null;
+            line("send_ended")
+                    .with("target", choice.target().id().value())
+                    .with("end", "CANCELLED")
+                    .with("written", String.valueOf(written))
+                    .with("took_ms", millisSince(sentNanos))
+                    .write();
         }
         endInFlight();
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/TargetSender.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/TargetSender.java
@@ -13,7 +13,11 @@
 
     /** An attempt in progress. Confined to the decision loop. */
     interface AttemptHandle {
-        /** Ends the attempt immediately; the listener receives no further events. */
-        void cancel();
+        /**
+         * Ends the attempt immediately and closes its connection; the listener receives no further events.
+         *
+         * @return whether a byte of the request may have reached the target
+         */
+        boolean cancel();
     }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -59,7 +59,8 @@
     }
 
     @Override
-    public void cancel() {
+    public boolean cancel() {
         cancelled = true;
+        return true;
     }
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -70,6 +70,8 @@
         this.loop = Objects.requireNonNull(loop);
         this.log = Objects.requireNonNull(log);
         timer = loop.timer();
+        final LoopLateness lateness = new LoopLateness(registry, log);
+        loop.setLatenessListener(lateNanos -> lateness.timerFired(lateNanos, timer.nanoTime()));
         peers = new NettyPeerTransport(
                 settings.vm(),
                 peerAddresses,
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -89,8 +89,12 @@
         }
         if (state == State.RUNNING) {
             queuedParts.addLast(part);
-            if (queuedParts.size() >= MAX_QUEUED_PARTS) {
+            if (queuedParts.size() == MAX_QUEUED_PARTS) {
                 context.channel().config().setAutoRead(false);
+                shared.log()
+                        .line("reading_paused")
+                        .with("queued_parts", queuedParts.size())
+                        .write();
             }
             return;
         }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/EventLoopScheduler.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/EventLoopScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -16,14 +17,17 @@
  */
 final class EventLoopScheduler extends Scheduler {
     private final EventLoop loop;
+    private final LongConsumer latenessNanos;
 
     /**
      * Creates a scheduler.
      *
      * @param loop the event loop that runs the tasks
+     * @param latenessNanos receives, on the loop, how late each delayed task starts, in nanoseconds
      */
-    EventLoopScheduler(final EventLoop loop) {
+    EventLoopScheduler(final EventLoop loop, final LongConsumer latenessNanos) {
         this.loop = Objects.requireNonNull(loop);
+        this.latenessNanos = Objects.requireNonNull(latenessNanos);
     }
 
     @Override
@@ -45,11 +49,17 @@
             if (delay <= 0) {
                 loop.execute(scheduled);
             } else {
-                scheduled.future = loop.schedule(scheduled, delay, unit);
+                final long dueNanos = System.nanoTime() + unit.toNanos(delay);
+                scheduled.future = loop.schedule(() -> runDelayed(scheduled, dueNanos), delay, unit);
             }
             return scheduled;
         }
 
+        private void runDelayed(final Task task, final long dueNanos) {
+            latenessNanos.accept(Math.max(0, System.nanoTime() - dueNanos));
+            task.run();
+        }
+
         @Override
         public void dispose() {
             tasks.dispose();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/GatewayLoop.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/GatewayLoop.java
@@ -1,6 +1,8 @@
 package org.balsambank.gateway.loop;
 
+import java.util.Objects;
 import java.util.concurrent.Executor;
+import java.util.function.LongConsumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -12,12 +14,14 @@
 /**
  * The single-threaded event loop that runs the decision loop and all sockets of callers and targets.
  *
- * <p>Immutable and thread-safe. Tasks run one at a time, in submission order.
+ * <p>Thread-safe. Tasks run one at a time, in submission order.
  */
 public final class GatewayLoop implements Executor {
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final TimerService timer = new SchedulerTimerService(new EventLoopScheduler(loop), System::nanoTime);
+    private final TimerService timer =
+            new SchedulerTimerService(new EventLoopScheduler(loop, this::reportLateness), System::nanoTime);
+    private volatile LongConsumer latenessListener = nanos -> {};
 
     /** Creates a loop with its thread. */
     public GatewayLoop() {}
@@ -40,6 +44,19 @@
         return timer;
     }
 
+    /**
+     * Sets the listener that learns how late the loop is.
+     *
+     * @param listener receives, on the loop, how late each timer fires, in nanoseconds; sockets are read as late
+     */
+    public void setLatenessListener(final LongConsumer listener) {
+        latenessListener = Objects.requireNonNull(listener);
+    }
+
+    private void reportLateness(final long nanos) {
+        latenessListener.accept(nanos);
+    }
+
     @Override
     public void execute(final Runnable task) {
         loop.execute(task);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -43,6 +43,7 @@
     private boolean accepted;
     private boolean headForwarded;
     private boolean chunkSeen;
+    private boolean written;
     private boolean ended;
 
     /**
@@ -133,6 +134,7 @@
         if (body.isReadable() || hasLength()) {
             copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
+        written = true;
         channel.writeAndFlush(copy);
     }
 
@@ -250,15 +252,15 @@
     }
 
     @Override
-    public void cancel() {
-        if (ended) {
-            return;
-        }
-        ended = true;
-        release();
-        if (connection != null) {
-            connection.close();
+    public boolean cancel() {
+        if (!ended) {
+            ended = true;
+            release();
+            if (connection != null) {
+                connection.close();
+            }
         }
+        return written;
     }
 
     private void finish(final AttemptEnd result) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
@@ -101,8 +101,8 @@
         }
 
         @Override
-        public void cancel() {
-            attempt.cancel();
+        public boolean cancel() {
+            return attempt.cancel();
         }
 
         /** Resumes reading after the caller's connection became writable again. */
