Write log lines in chunks that a pipe takes whole

Cause: all lines of 100 ms went out in one write. Whether the reader or the pipe drops the rest is not known; the write was larger than PIPE_BUF, for which a pipe promises nothing. Ruled out: the queue of 4,096 lines (dropped_lines is absent). Change: whole lines in writes of at most 4,096 bytes.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
@@ -1,5 +1,6 @@
 package org.balsambank.gateway.log;
 
+import java.io.ByteArrayOutputStream;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -29,6 +30,9 @@
     private static final int QUEUE_CAPACITY = 4_096;
     private static final int LINE_CHARS = 256;
 
+    /** The size up to which Linux writes to a pipe all or nothing (PIPE_BUF), in bytes. */
+    private static final int MAX_WRITE_BYTES = 4_096;
+
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final AtomicLong dropped = new AtomicLong();
     private final OutputStream out;
@@ -98,14 +102,31 @@
     }
 
     private void write(final List<String> lines) {
-        final StringBuilder text = new StringBuilder();
-        lines.forEach(line -> text.append(line).append('\n'));
+        final ByteArrayOutputStream chunk = new ByteArrayOutputStream(MAX_WRITE_BYTES);
+        int chunkLines = 0;
+        for (final String line : lines) {
+            final byte[] bytes = (line + '\n').getBytes(StandardCharsets.UTF_8);
+            if (chunk.size() + bytes.length > MAX_WRITE_BYTES) {
+                writeChunk(chunk, chunkLines);
+                chunkLines = 0;
+            }
+            chunk.writeBytes(bytes);
+            chunkLines++;
+        }
+        writeChunk(chunk, chunkLines);
+    }
+
+    private void writeChunk(final ByteArrayOutputStream chunk, final int lines) {
+        if (lines == 0) {
+            return;
+        }
         try {
-            out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+            out.write(chunk.toByteArray());
             out.flush();
         } catch (final IOException e) {
-            dropped.addAndGet(lines.size());
+            dropped.addAndGet(lines);
         }
+        chunk.reset();
     }
 
     /** A line that is being built. */
