Reset the connection of a cancelled attempt, so that its request is not delivered later

Cause: a cancel closed the connection to the target with a plain close. Bytes that the link had held up were delivered when it healed, and the target started to work seconds after the caller had left. Why it works: on a reset the sender discards what the target has not received. Channels.reset also serves the caller's side, which did the same.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -29,6 +28,7 @@
 import io.netty.util.concurrent.Future;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.serving.plan.CallerBounds;
+import org.balsambank.gateway.loop.Channels;
 
 /**
  * One connection of a caller. Processes one request at a time; pipelined requests wait until the response is written.
@@ -266,8 +266,7 @@
             releaseBody();
         }
         state = State.CLOSING;
-        context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-        context.close();
+        Channels.reset(context.channel());
     }
 
     /**
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -257,7 +257,7 @@
             ended = true;
             release();
             if (connection != null) {
-                connection.close();
+                connection.cancel();
             }
         }
         return written;
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.balsambank.gateway.loop.Channels;
 
 /**
  * One connection to a target. Carries one request at a time.
@@ -71,16 +72,25 @@
     }
 
     /**
-     * Closes the connection without reporting the current attempt as lost.
+     * Closes the connection while it is idle.
      */
     void close() {
-        currentAttempt = null;
         reusable = false;
         if (channel != null) {
             channel.close();
         }
     }
 
+    /**
+     * Resets the connection without reporting the current attempt as lost. What the target has not received of the
+     * request is discarded.
+     */
+    void cancel() {
+        currentAttempt = null;
+        reusable = false;
+        Channels.reset(channel);
+    }
+
     /**
      * Returns the open channel.
      *
