Look for the caller's close once more before a request is written to a target

Cause: Netty reads each socket once a round and then runs tasks. The request was written in the round that read it (or in which its wait or its connect ended); the close behind it was read one round later. Change: a task runs after the sockets were read once more (NextPoll) and writes only if the caller's channel is still active; the same after a connect. A connection that closes before the write is NOT_SENT, which is true.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -184,4 +184,9 @@
     public boolean writable() {
         return context.channel().isWritable();
     }
+
+    @Override
+    public boolean connected() {
+        return context.channel().isActive();
+    }
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseSink.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseSink.java
@@ -26,4 +26,11 @@
      * @return false while the caller's write buffer is full
      */
     boolean writable();
+
+    /**
+     * Returns whether the caller's connection is open, as far as its bytes were read.
+     *
+     * @return false once the response is of no use
+     */
+    boolean connected();
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -87,12 +87,12 @@
     }
 
     /**
-     * Returns whether the attempt is over.
+     * Returns whether the request may still be sent.
      *
-     * @return true after a cancel or an end
+     * @return false after a cancel or an end, or if the caller has left; in the latter case a cancel follows
      */
-    boolean ended() {
-        return ended;
+    boolean wanted() {
+        return !ended && sink.connected();
     }
 
     /**
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
@@ -16,6 +17,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.balsambank.gateway.Dialect;
+import org.balsambank.gateway.loop.NextPoll;
 
 /**
  * The connections to one incarnation of one target.
@@ -100,18 +102,26 @@
                 .connect(host, port);
         connected.addListener((ChannelFutureListener) done -> {
             connecting--;
-            if (attempt.ended()) {
-                done.channel().close();
-            } else if (!done.isSuccess()) {
+            if (!done.isSuccess()) {
                 attempt.notSent();
-            } else {
-                all.add(connection);
-                attempt.setConnection(connection);
-                connection.send(attempt, done.channel());
+                return;
             }
+            all.add(connection);
+            NextPoll.runAfter(done.channel().eventLoop(), () -> sendOnNew(connection, done.channel(), attempt));
         });
     }
 
+    private void sendOnNew(final TargetConnection connection, final Channel open, final TargetAttempt attempt) {
+        if (!open.isActive()) {
+            attempt.notSent();
+        } else if (attempt.wanted()) {
+            attempt.setConnection(connection);
+            connection.send(attempt, open);
+        } else {
+            open.close();
+        }
+    }
+
     /**
      * Returns a connection to the pool, or closes it if it is not reusable.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
@@ -16,6 +16,7 @@
 import org.balsambank.core.serving.request.TargetSender;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 import org.balsambank.gateway.Dialect;
+import org.balsambank.gateway.loop.NextPoll;
 
 /**
  * The connection pools of all targets.
@@ -72,8 +73,8 @@
                 listener);
         final int maxConnections =
                 outgoing.maxConnections() == 0 ? 0 : Math.max(1, outgoing.maxConnections() / Math.max(1, fleet.vms()));
-        group.execute(() -> {
-            if (!attempt.ended()) {
+        NextPoll.runAfter(group.next(), () -> {
+            if (attempt.wanted()) {
                 pool(outgoing.target()).start(attempt, maxConnections);
             }
         });
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
@@ -107,6 +107,11 @@
             return true;
         }
 
+        @Override
+        public boolean connected() {
+            return true;
+        }
+
         @Override
         public boolean head(final ResponseHead head) {
             return true;
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -195,6 +195,11 @@
             return true;
         }
 
+        @Override
+        public boolean connected() {
+            return true;
+        }
+
         @Override
         public boolean head(final ResponseHead head) {
             return true;
