Read a target's connection again before it is reused

A request could stay without an answer until its deadline, and a close of the target unseen. Cause: while a caller reads slowly, its target's connection is not read. If the last chunks came in one read, the connection went back to the pool unread, and nothing switched reading on again: the exchange that would have resumed it was over. Evidence: TargetResponseTest.connectionIsReadAgainAfterASlowCallersLastChunk fails before and passes now.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -129,6 +129,7 @@
      */
     void release(final TargetConnection connection) {
         if (connection.reusable()) {
+            connection.resume();
             idle.addLast(connection);
         } else {
             connection.close();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -139,6 +139,16 @@
         other.finishAndReleaseAll();
     }
 
+    // Guards against a request without an answer: its reused connection was left unread after a slow caller.
+    @Test
+    void connectionIsReadAgainAfterASlowCallersLastChunk() {
+        listener.writable = false;
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
+        assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
+        assertTrue(connection.reusable());
+        assertTrue(channel.config().isAutoRead());
+    }
+
     @Test
     void noEventsAfterCancel() {
         receive("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nhe");
@@ -179,6 +189,7 @@
         private final StringBuilder body = new StringBuilder();
         private final List<AttemptEnd> ends = new ArrayList<>();
         private boolean last;
+        private boolean writable = true;
 
         @Override
         public void head(final HttpResponse head) {}
@@ -192,7 +203,7 @@
 
         @Override
         public boolean writable() {
-            return true;
+            return writable;
         }
 
         @Override
