Read a caller's connection also while many of its requests wait

Cause: with 64 parts of pipelined requests in the queue the connection was no longer read, so its close was not seen. Change: reading goes on; parts beyond the limit are discarded, each queued request is answered, the last answer says Connection: close, and the connection is closed; a caller may send unanswered requests again elsewhere. The line reading_paused becomes pipeline_overflow.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -52,6 +52,7 @@
     private CallExchange exchange;
     private Future<?> timeout;
     private boolean readingHead;
+    private boolean overflowed;
 
     /**
      * Creates the handler of a connection that is not open yet.
@@ -87,18 +88,28 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (state == State.RUNNING) {
-            queuedParts.addLast(part);
-            if (queuedParts.size() == MAX_QUEUED_PARTS) {
-                context.channel().config().setAutoRead(false);
-                shared.log()
-                        .line("reading_paused")
-                        .with("queued_parts", queuedParts.size())
-                        .write();
-            }
-            return;
+        if (overflowed) {
+            ReferenceCountUtil.release(part);
+        } else if (state == State.RUNNING) {
+            queuePart(part);
+        } else {
+            process(part);
+        }
+    }
+
+    /**
+     * Queues a part of a pipelined request. If there are too many, the rest is read and discarded, so that the close of
+     * the connection is still noticed; the connection is closed after the responses to the queued requests.
+     */
+    private void queuePart(final HttpObject part) {
+        queuedParts.addLast(part);
+        if (queuedParts.size() == MAX_QUEUED_PARTS) {
+            overflowed = true;
+            shared.log()
+                    .line("pipeline_overflow")
+                    .with("queued_parts", queuedParts.size())
+                    .write();
         }
-        process(part);
     }
 
     private void process(final HttpObject part) {
@@ -199,8 +210,8 @@
         while (!queuedParts.isEmpty() && state != State.RUNNING && state != State.CLOSING) {
             process(queuedParts.pollFirst());
         }
-        if (queuedParts.isEmpty() && context.channel().isActive()) {
-            context.channel().config().setAutoRead(true);
+        if (overflowed && queuedParts.isEmpty() && state != State.RUNNING && state != State.CLOSING) {
+            closeGracefully();
         }
     }
 
@@ -208,10 +219,11 @@
      * Returns whether the connection may stay open after a request.
      *
      * @param request the head of the request
-     * @return false if the caller asked to close it or this VM is stopping
+     * @return false if the caller asked to close it, sent too many requests at once, or this VM is stopping
      */
     boolean keepAlive(final HttpRequest request) {
-        return HttpUtil.isKeepAlive(request) && !shared.stopping();
+        final boolean lastBeforeOverflow = overflowed && queuedParts.isEmpty();
+        return HttpUtil.isKeepAlive(request) && !lastBeforeOverflow && !shared.stopping();
     }
 
     private void rejectUnreadable(final Throwable cause) {
