Parse the queued parts of a caller's connection before those that are read later

A pipelining caller could get 408 for a request that it had sent whole: the rest of the body was thrown away. Cause: after a response the queued parts are parsed by a task; bytes read between the response and that task were parsed first. Evidence: EndToEndTest.queuedPartsOfARequestAreParsedBeforeLaterOnes (the loop stands still while the response and the rest of the next request arrive) fails before: one answer instead of two; passes now. Change: while parts are queued, later ones are queued behind them.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -90,7 +90,7 @@
         }
         if (overflowed) {
             ReferenceCountUtil.release(part);
-        } else if (state == State.RUNNING) {
+        } else if (state == State.RUNNING || !queuedParts.isEmpty()) {
             queuePart(part);
         } else {
             process(part);
