Reset the connections of calls that are given up: commands to targets, the key-value service

A command that its VM had given up after a timeout could reach the target when the link was back. Cause: the same as for requests of callers (a plain close delivers first what is still held up); found by looking for it elsewhere. Evidence: PooledHttpClientTest.restOfTimedOutCallIsNotDeliveredLater and restOfCancelledCallIsNotDeliveredLater fail before and pass now. Cause: the JDK closes a socket that is registered with a selector at the next select, so the test, which read at once, opened the window before the reset.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -34,6 +34,7 @@
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
+import org.balsambank.gateway.loop.Channels;
 
 /**
  * An HTTP client for small requests with complete bodies, on pooled connections.
@@ -204,7 +205,7 @@
             if (currentEmitter == emitter) {
                 timeoutTask.cancel(false);
                 currentEmitter = null;
-                channel.close();
+                Channels.reset(channel);
             }
         }
 
@@ -243,8 +244,9 @@
             fail(new IOException("connection closed"));
         }
 
+        /** Resets the connection, so that the peer does not get the request later, and reports the failure. */
         private void fail(final Throwable cause) {
-            channel.close();
+            Channels.reset(channel);
             if (currentEmitter != null) {
                 timeoutTask.cancel(false);
                 final SingleEmitter<Response> emitter = currentEmitter;
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
@@ -1,11 +1,6 @@
 package org.balsambank.gateway.target;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.ByteBuf;
@@ -26,28 +21,20 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests what a target gets of a cancelled attempt, over real sockets. Confined to one thread. */
 final class CancelledAttemptTest {
-    /** Fits into a send buffer, but not into the receive buffer of the target. */
-    private static final int BODY_BYTES = 12_000;
-
-    private static final int RECEIVE_BUFFER_BYTES = 2_048;
-    private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final String BODY = "x".repeat(SmallReceiver.HELD_UP_BYTES);
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final ByteBuf body = Unpooled.copiedBuffer("x".repeat(BODY_BYTES), StandardCharsets.US_ASCII);
-    private ServerSocket target;
+    private final ByteBuf body = Unpooled.copiedBuffer(BODY, StandardCharsets.US_ASCII);
+    private SmallReceiver target;
     private TargetConnectionPool pool;
 
     @BeforeEach
     void listen() throws IOException {
-        target = new ServerSocket();
-        target.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        target.setSoTimeout(READ_TIMEOUT_MILLIS);
-        target.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        pool = new TargetConnectionPool("127.0.0.1", target.getLocalPort(), group, new TestDialect());
+        target = new SmallReceiver();
+        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect());
     }
 
     @AfterEach
@@ -61,13 +48,9 @@
     @Test
     void restOfCancelledRequestIsNotDeliveredLater() throws Exception {
         final TargetAttempt attempt = start();
-        try (Socket accepted = target.accept()) {
-            accepted.setSoTimeout(READ_TIMEOUT_MILLIS);
-            final InputStream in = accepted.getInputStream();
-            assertTrue(in.read() >= 0);
-            group.submit(attempt::cancel).get();
-            assertFalse(received(in).contains("x".repeat(BODY_BYTES)), "the target got the whole request");
-        }
+        target.acceptFirstByte();
+        group.submit(attempt::cancel).get();
+        assertFalse(target.receiveRest(group).contains(BODY), "the target got the whole request");
     }
 
     private TargetAttempt start() {
@@ -79,19 +62,6 @@
         return attempt;
     }
 
-    /** Reads until the connection ends or is reset. */
-    private static String received(final InputStream in) {
-        final StringBuilder text = new StringBuilder();
-        try {
-            for (int next = in.read(); next >= 0; next = in.read()) {
-                text.append((char) next);
-            }
-        } catch (final IOException reset) {
-            return text.toString();
-        }
-        return text.toString();
-    }
-
     /** Ignores the response. Stateless. */
     private static final class IgnoringListener implements ResponseSink, AttemptListener {
         @Override
--- /dev/null
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
@@ -0,0 +1,62 @@
+package org.balsambank.gateway.target;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.observers.TestObserver;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+/** Tests what a peer gets of a call that was given up, over real sockets. Confined to one thread. */
+final class PooledHttpClientTest {
+    private static final String BODY = "x".repeat(SmallReceiver.HELD_UP_BYTES);
+    private static final Duration SHORT = Duration.ofMillis(50);
+    private static final Duration LONG = Duration.ofSeconds(30);
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final PooledHttpClient client = new PooledHttpClient(group);
+    private SmallReceiver peer;
+
+    @BeforeEach
+    void listen() throws IOException {
+        peer = new SmallReceiver();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        peer.close();
+        group.shutdownGracefully();
+    }
+
+    // Guards against a command that was given up, and is delivered and carried out when its link is back.
+    @Test
+    void restOfTimedOutCallIsNotDeliveredLater() throws Exception {
+        final TestObserver<PooledHttpClient.Response> response = send(SHORT);
+        peer.acceptFirstByte();
+        response.await().assertError(IOException.class);
+        assertFalse(peer.receiveRest(group).contains(BODY), "the peer got the whole call");
+    }
+
+    // Guards against a command that was cancelled, and is delivered and carried out when its link is back.
+    @Test
+    void restOfCancelledCallIsNotDeliveredLater() throws Exception {
+        final Disposable response = send(LONG);
+        peer.acceptFirstByte();
+        response.dispose();
+        assertFalse(peer.receiveRest(group).contains(BODY), "the peer got the whole call");
+    }
+
+    private TestObserver<PooledHttpClient.Response> send(final Duration timeout) {
+        final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
+        final PooledHttpClient.Request request =
+                new PooledHttpClient.Request("127.0.0.1", peer.port(), "POST", "/order", "", "", BODY);
+        group.execute(() -> client.send(request, timeout).subscribe(observer));
+        return observer;
+    }
+}
--- /dev/null
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
@@ -0,0 +1,77 @@
+package org.balsambank.gateway.target;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.concurrent.CountDownLatch;
+
+import io.netty.channel.EventLoopGroup;
+import org.balsambank.gateway.loop.NextPoll;
+
+/**
+ * A server on loopback that accepts one connection and takes in a few bytes of it, so that the system of the sender holds
+ * the rest back until they are read.
+ *
+ * <p>Confined to one thread.
+ */
+final class SmallReceiver implements AutoCloseable {
+    /** A size that fits into a send buffer, but not into the receive buffer of this server, in bytes. */
+    static final int HELD_UP_BYTES = 12_000;
+
+    private static final int RECEIVE_BUFFER_BYTES = 2_048;
+    private static final int TIMEOUT_MILLIS = 10_000;
+
+    private final ServerSocket server = new ServerSocket();
+    private Socket accepted;
+
+    SmallReceiver() throws IOException {
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.setSoTimeout(TIMEOUT_MILLIS);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    /** Accepts the connection and waits for its first byte. */
+    void acceptFirstByte() throws IOException {
+        accepted = server.accept();
+        accepted.setSoTimeout(TIMEOUT_MILLIS);
+        if (accepted.getInputStream().read() < 0) {
+            throw new IOException("the connection was closed before its first byte");
+        }
+    }
+
+    /**
+     * Waits until the sender ends or resets the connection, and returns all that it delivered. Reads only after a round
+     * of the sender's event loop, which closes a socket not before its next select.
+     */
+    String receiveRest(final EventLoopGroup sender) throws IOException, InterruptedException {
+        final CountDownLatch polled = new CountDownLatch(1);
+        sender.execute(() -> NextPoll.runAfter(sender.next(), polled::countDown));
+        polled.await();
+        final StringBuilder text = new StringBuilder();
+        final InputStream in = accepted.getInputStream();
+        try {
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                text.append((char) next);
+            }
+        } catch (final SocketException reset) {
+            return text.toString();
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        if (accepted != null) {
+            accepted.close();
+        }
+    }
+}
