Give a team its units back if its caller leaves before the request is written

A team whose callers leave early could be refused although it was within its rate: it paid for requests that no target got. Cause: callerGone ended the request without the refund that every other end without a run makes; and an attempt that was cancelled before a byte of it was written counted as one that may have run. Evidence: RequestExecutionTest.teamGetsItsUnitsBackIfItsCallerLeavesBeforeTheRequestIsWritten fails before (RATE_EXCEEDED) and passes now; a second test holds that a team pays once the request is written. For the same reason a deadline that ends an attempt of which nothing was written is answered as not run, which is true.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -124,6 +124,7 @@
         }
         final String stage = stage();
         cancelAttempt();
+        refundIfNotExecuted();
         finish("caller_gone", stage);
     }
 
@@ -375,11 +376,15 @@
     }
 
     private void reject(final ErrorKind kind, final Optional<Duration> retryAfter, final String reason) {
+        refundIfNotExecuted();
+        caller.reject(kind, retryAfter);
+        finish(kind.code(), reason);
+    }
+
+    private void refundIfNotExecuted() {
         if (!mayHaveExecuted) {
             chargedTeam.ifPresent(team -> dependencies.rateLimiter().refund(team, units));
         }
-        caller.reject(kind, retryAfter);
-        finish(kind.code(), reason);
     }
 
     private void finish(final String outcome, final String reason) {
@@ -414,6 +419,7 @@
         if (currentAttempt != null) {
             final boolean written = currentAttempt.cancel();
             currentAttempt = null;
+            mayHaveExecuted = written || executions > 0;
             line("send_ended")
                     .with("target", choice.target().id().value())
                     .with("end", "CANCELLED")
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -17,6 +17,7 @@
     final VmId from;
     final OutgoingAttempt outgoing;
     boolean cancelled;
+    boolean written = true;
     private final AttemptListener listener;
 
     FakeAttempt(final VmId from, final OutgoingAttempt outgoing, final AttemptListener listener) {
@@ -61,6 +62,6 @@
     @Override
     public boolean cancel() {
         cancelled = true;
-        return true;
+        return written;
     }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
@@ -99,6 +99,27 @@
         assertEquals(List.of(), caller.rejections);
     }
 
+    // Guards against a team that pays for requests which no target got, as their callers had left.
+    @Test
+    void teamGetsItsUnitsBackIfItsCallerLeavesBeforeTheRequestIsWritten() {
+        fleet.writePlan(2, List.of(TestFleet.KEY), 2_000);
+        fleet.advance(3_000);
+        final FakeCaller left = callUntilRejected();
+        fleet.lastAttempt().written = false;
+        left.request.callerGone();
+        assertEquals(List.of(), call(UNSAFE).rejections);
+        assertEquals(ErrorKind.RATE_EXCEEDED, call(UNSAFE).rejection());
+    }
+
+    @Test
+    void teamPaysIfItsCallerLeavesAfterTheRequestIsWritten() {
+        fleet.writePlan(2, List.of(TestFleet.KEY), 2_000);
+        fleet.advance(3_000);
+        final FakeCaller left = callUntilRejected();
+        left.request.callerGone();
+        assertEquals(ErrorKind.RATE_EXCEEDED, call(UNSAFE).rejection());
+    }
+
     @Test
     void finalResponseIsSentAtTheDeadline() {
         final FakeCaller caller = call(UNSAFE);
@@ -165,6 +186,15 @@
         assertEquals(ErrorKind.UNAUTHENTICATED, call(UNSAFE).rejection());
     }
 
+    /** Uses up the rate of the team; returns the last caller whose request was admitted. */
+    private FakeCaller callUntilRejected() {
+        FakeCaller admitted = call(UNSAFE);
+        for (FakeCaller next = call(UNSAFE); next.rejections.isEmpty(); next = call(UNSAFE)) {
+            admitted = next;
+        }
+        return admitted;
+    }
+
     private FakeCaller call(final String path) {
         return fleet.sendRequest(TestFleet.vm(0), path, Optional.empty(), 100);
     }
