--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
@@ -10,12 +10,8 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.balsambank.core.id.RequestId;
-import org.balsambank.core.serving.request.AttemptEnd;
-import org.balsambank.core.serving.request.AttemptListener;
-import org.balsambank.core.serving.request.ResponseHead;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -55,42 +51,10 @@
 
     private TargetAttempt start() {
         final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/x");
-        final IgnoringListener listener = new IgnoringListener();
+        final RecordingListener listener = new RecordingListener();
         final TargetAttempt attempt = new TargetAttempt(
                 new TestDialect(), new RequestId("r1"), request, request.headers(), body, false, listener, listener);
         group.execute(() -> pool.start(attempt, 0));
         return attempt;
     }
-
-    /** Ignores the response. Stateless. */
-    private static final class IgnoringListener implements ResponseSink, AttemptListener {
-        @Override
-        public void head(final HttpResponse head) {}
-
-        @Override
-        public void chunk(final ByteBuf chunk, final boolean last) {
-            chunk.release();
-        }
-
-        @Override
-        public boolean writable() {
-            return true;
-        }
-
-        @Override
-        public boolean connected() {
-            return true;
-        }
-
-        @Override
-        public boolean head(final ResponseHead head) {
-            return true;
-        }
-
-        @Override
-        public void chunk() {}
-
-        @Override
-        public void ended(final AttemptEnd end) {}
-    }
 }
--- /dev/null
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -0,0 +1,52 @@
+package org.balsambank.gateway.target;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import org.balsambank.core.serving.request.AttemptEnd;
+import org.balsambank.core.serving.request.AttemptListener;
+import org.balsambank.core.serving.request.ResponseHead;
+
+/** Records the response chunks and the ends of attempts. Confined to one thread. */
+final class RecordingListener implements ResponseSink, AttemptListener {
+    final StringBuilder body = new StringBuilder();
+    final List<AttemptEnd> ends = new ArrayList<>();
+    boolean last;
+    boolean writable = true;
+
+    @Override
+    public void head(final HttpResponse head) {}
+
+    @Override
+    public void chunk(final ByteBuf chunk, final boolean lastChunk) {
+        body.append(chunk.toString(StandardCharsets.UTF_8));
+        chunk.release();
+        last |= lastChunk;
+    }
+
+    @Override
+    public boolean writable() {
+        return writable;
+    }
+
+    @Override
+    public boolean connected() {
+        return true;
+    }
+
+    @Override
+    public boolean head(final ResponseHead head) {
+        return true;
+    }
+
+    @Override
+    public void chunk() {}
+
+    @Override
+    public void ended(final AttemptEnd end) {
+        ends.add(end);
+    }
+}
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
@@ -13,8 +13,8 @@
 import org.balsambank.gateway.loop.NextPoll;
 
 /**
- * A server on loopback that accepts one connection and takes in a few bytes of it, so that the system of the sender holds
- * the rest back until they are read.
+ * A server on loopback that accepts one connection and takes in a few bytes of it. The system of the sender holds the
+ * rest back until it is read.
  *
  * <p>Confined to one thread.
  */
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -20,8 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
-import org.balsambank.core.serving.request.AttemptListener;
-import org.balsambank.core.serving.request.ResponseHead;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -183,45 +180,4 @@
     private void receive(final String bytes) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
-
-    /** Records the response chunks and the ends of attempts. */
-    private static final class RecordingListener implements ResponseSink, AttemptListener {
-        private final StringBuilder body = new StringBuilder();
-        private final List<AttemptEnd> ends = new ArrayList<>();
-        private boolean last;
-        private boolean writable = true;
-
-        @Override
-        public void head(final HttpResponse head) {}
-
-        @Override
-        public void chunk(final ByteBuf chunk, final boolean lastChunk) {
-            body.append(chunk.toString(StandardCharsets.UTF_8));
-            chunk.release();
-            last |= lastChunk;
-        }
-
-        @Override
-        public boolean writable() {
-            return writable;
-        }
-
-        @Override
-        public boolean connected() {
-            return true;
-        }
-
-        @Override
-        public boolean head(final ResponseHead head) {
-            return true;
-        }
-
-        @Override
-        public void chunk() {}
-
-        @Override
-        public void ended(final AttemptEnd end) {
-            ends.add(end);
-        }
-    }
 }
