End a started response with a close that the system repeats

Cause: a reset is sent once; a plain close is sent again until it arrives. A reset is needed only while bytes of the request may still be on their way; once the response has started the target has the request.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -33,6 +33,7 @@
     private TargetAttempt currentAttempt;
     private boolean reusable = true;
     private boolean informational;
+    private boolean responseStarted;
     private long idleSinceNanos;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
@@ -57,6 +58,7 @@
     void send(final TargetAttempt attempt, final Channel open) {
         channel = open;
         currentAttempt = attempt;
+        responseStarted = false;
         decoder.noBody(attempt.hasNoBody());
         attempt.write(channel);
     }
@@ -82,13 +84,19 @@
     }
 
     /**
-     * Resets the connection without reporting the current attempt as lost. What the target has not received of the
-     * request is discarded.
+     * Closes the connection without reporting the current attempt as lost.
+     *
+     * <p>Before the response has started, a reset discards what the target has not received of the request. After that
+     * the target has the request; a plain close is repeated by the system until it arrives, where a reset can be lost.
      */
     void cancel() {
         currentAttempt = null;
         reusable = false;
-        Channels.reset(channel);
+        if (responseStarted) {
+            channel.close();
+        } else {
+            Channels.reset(channel);
+        }
     }
 
     /**
@@ -132,6 +140,7 @@
             reusable &= head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
             return;
         }
+        responseStarted = true;
         reusable &= HttpUtil.isKeepAlive(head);
         final Optional<Duration> announced = pool.dialect().keepAliveTimeout(head);
         keepAlive = announced.map(time -> time.minus(KEEP_ALIVE_MARGIN)).orElse(DEFAULT_KEEP_ALIVE);
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
@@ -10,10 +11,11 @@
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.ResponseHead;
 
-/** Records the response chunks and the ends of attempts. Confined to one thread. */
+/** Records the response chunks and the ends of attempts. Confined to one thread, except for the latch. */
 final class RecordingListener implements ResponseSink, AttemptListener {
     final StringBuilder body = new StringBuilder();
     final List<AttemptEnd> ends = new ArrayList<>();
+    final CountDownLatch chunkSeen = new CountDownLatch(1);
     boolean last;
     boolean writable = true;
 
@@ -43,7 +45,9 @@
     }
 
     @Override
-    public void chunk() {}
+    public void chunk() {
+        chunkSeen.countDown();
+    }
 
     @Override
     public void ended(final AttemptEnd end) {
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 
 import io.netty.channel.EventLoopGroup;
@@ -27,6 +28,7 @@
 
     private final ServerSocket server = new ServerSocket();
     private Socket accepted;
+    private boolean reset;
 
     SmallReceiver() throws IOException {
         server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
@@ -61,12 +63,22 @@
             for (int next = in.read(); next >= 0; next = in.read()) {
                 text.append((char) next);
             }
-        } catch (final SocketException reset) {
-            return text.toString();
+        } catch (final SocketException e) {
+            reset = true;
         }
         return text.toString();
     }
 
+    /** Returns whether the sender has reset the connection, after {@link #receiveRest}. */
+    boolean wasReset() {
+        return reset;
+    }
+
+    /** Sends the beginning of a response. */
+    void respond(final String bytes) throws IOException {
+        accepted.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
