Report a call as failed also if its connection is already closed

Cause: setting the reset option on a closed socket throws, so the failure was not passed on. Evidence: PooledHttpClientTest.callFailsAtOnceIfThePeerClosesTheConnection fails before (no end within 10 s) and passes now. Change: a reset of a closed connection does nothing. One line that switched reading on where it is never off goes, too.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -264,7 +264,6 @@
                 socket.shutdownOutput();
             }
         });
-        context.channel().config().setAutoRead(true);
         context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
@@ -9,12 +9,14 @@
 
     /**
      * Closes a connection with a reset. The system discards the bytes that the peer has not received yet, where a plain
-     * close would deliver them first, however late.
+     * close would deliver them first, however late. Does nothing if the connection is closed.
      *
      * @param channel the connection
      */
     public static void reset(final Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
+        if (channel.isActive()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
     }
 }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -12,10 +13,12 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests what a peer gets of a call that was given up, over real sockets. Confined to one thread. */
 final class PooledHttpClientTest {
     private static final String BODY = "x".repeat(SmallReceiver.HELD_UP_BYTES);
+    private static final int TIMEOUT_SECONDS = 10;
     private static final Duration SHORT = Duration.ofMillis(50);
     private static final Duration LONG = Duration.ofSeconds(30);
 
@@ -52,6 +55,16 @@
         assertFalse(peer.receiveRest(group).contains(BODY), "the peer got the whole call");
     }
 
+    // Guards against a call that never ends because its peer has closed the connection.
+    @Test
+    void callFailsAtOnceIfThePeerClosesTheConnection() throws Exception {
+        final TestObserver<PooledHttpClient.Response> response = send(LONG);
+        peer.acceptFirstByte();
+        peer.close();
+        assertTrue(response.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        response.assertError(IOException.class);
+    }
+
     private TestObserver<PooledHttpClient.Response> send(final Duration timeout) {
         final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
         final PooledHttpClient.Request request =
