--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestAttributes.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestAttributes.java
@@ -1,9 +1,11 @@
 package org.balsambank.core.serving.request;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.balsambank.core.id.BaseModel;
 import org.balsambank.core.id.Fingerprint;
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.placement.AdapterKey;
 
@@ -24,6 +26,7 @@
  * @param deadlineMillis the time limit of the caller, counted from arrival, 0 if not declared
  * @param arrivedNanos when the request head arrived, on the monotonic clock
  * @param fingerprint equal for requests with the same effect
+ * @param sharedParts the parts of the prompt that other requests may share: all but the last
  */
 public record RequestAttributes(
         RequestId id,
@@ -37,7 +40,13 @@
         boolean tokensDeclared,
         long deadlineMillis,
         long arrivedNanos,
-        Fingerprint fingerprint) {
+        Fingerprint fingerprint,
+        List<PromptPartId> sharedParts) {
+    /** Copies the parts. */
+    public RequestAttributes {
+        sharedParts = List.copyOf(sharedParts);
+    }
+
     /** Omits the API key. */
     @Override
     public String toString() {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.balsambank.core.error.ErrorKind;
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.choice.EngineLatencyModel;
@@ -335,6 +337,11 @@
         line("sent")
                 .with("target", target.id().value())
                 .with("adapter", attributes.adapter().map(AdapterKey::toString).orElse(""))
+                .with(
+                        "parts",
+                        attributes.sharedParts().stream()
+                                .map(PromptPartId::value)
+                                .collect(Collectors.joining(",")))
                 .with("attempt", attempts)
                 .with("estimate_ms", Math.round(choice.estimateMillis()))
                 .with("read_ms", Math.round(choice.processingMillis()))
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -231,7 +231,8 @@
                 true,
                 4_000,
                 receiver.loop.timer().nanoTime(),
-                new Fingerprint("f" + path + tokens));
+                new Fingerprint("f" + path + tokens),
+                List.of());
         caller.request = receiver.core.newRequest(attributes, caller, (outgoing, listener) -> {
             final FakeAttempt attempt = new FakeAttempt(vm, outgoing, listener);
             attempts.add(attempt);
