Refuse requests with a part of the prompt that crashes targets

Cause: VMs kept the blame for a crash under the fingerprint of the whole request. Requests with a deadly part are no two alike, so no fingerprint ever had two crashes. Class: blame kept for an identity that does not repeat, while the cause does.

Evidence: with the parts in the log, one part was in 29 of 29 crashes and in no complete response. Ruled out: load that moves to other targets (no crash without the part in flight).

Change: PromptPartTracker keeps, for each part but the last, the crashes in which it was in flight and not answered since. Crashes count one after the other: each adds to what was known when its request was sent, so that an outage of many targets at once counts once. A response to any request with the part, at any VM, clears it. Two successive crashes that ended a response which had just begun make a suspect, or three. Parts that always come with the deadly one look the same; a request is refused only if all parts that may be the cause of two crashes are in it, so that the sound requests pass and clear the others. VMs exchange the evidence in their digests; a full digest has all of it, so a VM that starts later knows it.

--- a/balsambank-core/src/main/java/org/balsambank/core/error/ErrorKind.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/error/ErrorKind.java
@@ -34,6 +34,8 @@
     DEADLINE_BEFORE_RUN(504, Executed.NO, RetrySafety.SAFE),
     /** Earlier runs of the request crashed several targets, so it is not run again. */
     POISON_REQUEST(422, Executed.NO, RetrySafety.USELESS),
+    /** A part of the prompt has crashed several targets, so no request with it is run. */
+    POISON_PROMPT_PART(422, Executed.NO, RetrySafety.USELESS),
     /** The idempotency key was used for another call. */
     IDEMPOTENCY_MISMATCH(422, Executed.NO, RetrySafety.USELESS),
     /** The call could not be recorded under its idempotency key and was not run. */
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -35,6 +35,7 @@
 import org.balsambank.core.serving.placement.TargetOrderClient;
 import org.balsambank.core.serving.plan.CallerBounds;
 import org.balsambank.core.serving.plan.ServingPlan;
+import org.balsambank.core.serving.poison.PromptPartTracker;
 import org.balsambank.core.serving.replica.EntryListener;
 import org.balsambank.core.serving.replica.EntryReplica;
 import org.balsambank.core.serving.replica.ReplicaReader;
@@ -133,7 +134,8 @@
                 timer,
                 log);
         final TeamRateLimiter rateLimiter = new TeamRateLimiter(timer, members, settings.rateSlack());
-        final TargetCrashTracker crashTracker = new TargetCrashTracker(timer);
+        final TargetCrashTracker crashTracker = new TargetCrashTracker(timer, log);
+        registry.gauge("balsambank.serving.parts.suspect", crashTracker.parts(), PromptPartTracker::suspects);
         final ColdTargetLimiter cold =
                 new ColdTargetLimiter(timer, members, settings.coldOverage(), settings.coldSlack());
         final TargetChooser chooser = new TargetChooser(
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -12,6 +12,7 @@
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.TeamId;
 import org.balsambank.core.id.VmId;
@@ -27,6 +28,7 @@
 import org.balsambank.protocol.generated.serving.BrokenRuns;
 import org.balsambank.protocol.generated.serving.Digest;
 import org.balsambank.protocol.generated.serving.Holding;
+import org.balsambank.protocol.generated.serving.PartReport;
 import org.balsambank.protocol.generated.serving.TargetUse;
 import org.balsambank.protocol.generated.serving.TeamUse;
 
@@ -83,7 +85,7 @@
      * @param rateLimiter the usage of teams
      * @param residency the adapters and models resident at targets
      * @param placement the targets that this VM controls
-     * @param crashTracker the requests whose targets crashed
+     * @param crashTracker the requests and parts of prompts whose targets crashed
      * @param replica the entries that this VM knows
      * @param reader keeps the replica up to date
      * @param timer the timer service
@@ -261,6 +263,10 @@
             residency.findReport(target).ifPresent(report -> digest.addHoldings(DigestCodec.residency(target, report)));
         }
         digest.addAllBroken(edge.crashesToSend());
+        final Set<PromptPartId> changedParts = edge.drainParts();
+        for (final PromptPartId part : full ? crashTracker.parts().parts() : changedParts) {
+            crashTracker.parts().report(part).ifPresent(digest::addParts);
+        }
         final long recoveredMillis =
                 reader.sinceRecovery().map(since -> since.toMillis() + 1).orElse(0L);
         digest.setVms(1 + count(excluded, false))
@@ -309,6 +315,7 @@
         digest.getTeamsList().forEach(usage -> applyUnits(edge, usage));
         digest.getHoldingsList().forEach(holding -> applyResidency(edge, holding));
         digest.getBrokenList().forEach(crash -> applyCrash(edge, crash));
+        digest.getPartsList().forEach(report -> applyPart(edge, report));
         if (isParent(edge)) {
             reader.applyForwarded(
                     digest.getRevision(),
@@ -347,6 +354,12 @@
         }
     }
 
+    private void applyPart(final TreeEdge edge, final PartReport report) {
+        if (crashTracker.parts().recordReport(report)) {
+            edgesExcept(edge).forEach(each -> each.partChanged(new PromptPartId(report.getPart())));
+        }
+    }
+
     private void usageChanged(final TargetId target, final TreeEdge source) {
         edgesExcept(source).forEach(each -> each.usageChanged(target));
     }
@@ -360,6 +373,7 @@
         final Set<TargetId> changedUsage = inFlight.drainChanged();
         final Set<TargetId> changedResidency = placement.drainChanged();
         final List<BrokenRuns> crashes = crashTracker.drainUnreported();
+        final Set<PromptPartId> changedParts = crashTracker.parts().drainChanged();
         rateLimiter.totals().forEach((team, total) -> {
             final Long previous = recordedUnits.put(team, total);
             final long added = total - (previous == null ? 0 : previous);
@@ -371,6 +385,7 @@
             changedUsage.forEach(edge::usageChanged);
             changedResidency.forEach(edge::residencyChanged);
             crashes.forEach(edge::crashed);
+            changedParts.forEach(edge::partChanged);
         }
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -6,6 +6,8 @@
 import org.balsambank.core.id.BootId;
 import org.balsambank.core.id.Fingerprint;
 import org.balsambank.core.id.TargetId;
+import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.serving.poison.PromptPartTracker;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 import org.balsambank.core.target.CrashId;
 import org.balsambank.core.target.PoisonRequestRegistry;
@@ -21,14 +23,26 @@
 public final class TargetCrashTracker {
     private final PoisonRequestRegistry register;
     private final List<BrokenRuns> unreported = new ArrayList<>();
+    private final PromptPartTracker parts;
 
     /**
      * Creates an instance without crashes.
      *
      * @param timer the timer service
+     * @param log the decision log
      */
-    public TargetCrashTracker(final TimerService timer) {
+    public TargetCrashTracker(final TimerService timer, final DecisionLog log) {
         register = new PoisonRequestRegistry(timer);
+        parts = new PromptPartTracker(timer, log);
+    }
+
+    /**
+     * Returns the evidence against parts of prompts, which callers send in requests of which no two are alike.
+     *
+     * @return the tracker of parts
+     */
+    public PromptPartTracker parts() {
+        return parts;
     }
 
     /**
@@ -38,16 +52,26 @@
      * @param target the target
      */
     public void recordCrash(final Fingerprint fingerprint, final TargetAnnouncement target) {
-        final BootId boot = new BootId(Long.toString(target.startedMillis()));
-        if (register.record(fingerprint, new CrashId(target.id(), boot))) {
+        final CrashId crash = crashOf(target);
+        if (register.record(fingerprint, crash)) {
             unreported.add(BrokenRuns.newBuilder()
                     .setFingerprint(fingerprint.value())
-                    .setTarget(target.id().value())
-                    .setBoot(boot.value())
+                    .setTarget(crash.target().value())
+                    .setBoot(crash.boot().value())
                     .build());
         }
     }
 
+    /**
+     * Returns the crash that ends a target's current run.
+     *
+     * @param target the target
+     * @return the id of the crash, the same on all VMs
+     */
+    public static CrashId crashOf(final TargetAnnouncement target) {
+        return new CrashId(target.id(), new BootId(Long.toString(target.startedMillis())));
+    }
+
     /**
      * Records a crash reported by another VM.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Set;
 
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.TeamId;
 import org.balsambank.core.id.VmId;
@@ -27,6 +28,7 @@
     private final long session;
     private final Set<TargetId> changedUsage = new HashSet<>();
     private final Set<TargetId> changedResidency = new HashSet<>();
+    private final Set<PromptPartId> changedParts = new HashSet<>();
     private final Set<TeamId> changedTeams = new HashSet<>();
     private final Map<TeamId, Long> units = new HashMap<>();
     private final Map<TargetId, Set<AdapterKey>> sentAdapters = new HashMap<>();
@@ -72,6 +74,11 @@
         changedResidency.add(target);
     }
 
+    /** Records that the evidence against a part of prompts has changed. */
+    void partChanged(final PromptPartId part) {
+        changedParts.add(part);
+    }
+
     /** Records units admitted on this side. */
     void admitted(final TeamId team, final long added) {
         units.merge(team, added, Long::sum);
@@ -100,6 +107,7 @@
         return full
                 || !changedUsage.isEmpty()
                 || !changedResidency.isEmpty()
+                || !changedParts.isEmpty()
                 || !changedTeams.isEmpty()
                 || !newCrashes.isEmpty();
     }
@@ -114,6 +122,11 @@
         return drain(changedResidency);
     }
 
+    /** Returns the parts of prompts with changed evidence and clears the set. */
+    Set<PromptPartId> drainParts() {
+        return drain(changedParts);
+    }
+
     /**
      * Returns the changed totals of units, or all totals of the session if the digest is full, and clears the changes.
      */
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
@@ -30,7 +30,7 @@
  * @param rateLimiter the rate limits of teams
  * @param retryBudgets the retry budgets of services
  * @param coldTargetLimiter the rate limits of cold targets
- * @param crashTracker the requests whose targets crashed
+ * @param crashTracker the requests and parts of prompts whose targets crashed
  * @param timer the timer service
  * @param random the source of jitter and weighted choices
  * @param log the decision log
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -38,6 +38,9 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_TARGET_CHOICES = 6;
     private static final int MISDIRECTED_REQUEST = 421;
+    /** The chunks of a response after which its target has survived the beginning. */
+    private static final int SURVIVED_CHUNKS = 2;
+
     private static final long DEADLINE_MARGIN_NANOS = Duration.ofMillis(15).toNanos();
     private static final double MAX_LATENCY_OBJECTIVES = 3.6;
     private static final double DEADLINE_SHARE = 0.9;
@@ -49,6 +52,7 @@
     private final RequestAttributes attributes;
     private final CallerResponder caller;
     private final TargetSender sender;
+    private final CrashGuard crashGuard;
     private final Set<TargetId> excluded = new HashSet<>();
     private ResolvedRequest resolved;
     private double units;
@@ -88,6 +92,7 @@
         this.attributes = Objects.requireNonNull(attributes);
         this.caller = Objects.requireNonNull(caller);
         this.sender = Objects.requireNonNull(sender);
+        crashGuard = new CrashGuard(dependencies.crashTracker(), attributes);
     }
 
     /** Checks the request and starts the first attempt. */
@@ -104,11 +109,7 @@
                 ? Math.min(requested, resolved.route().timeoutMillis())
                 : requested;
         deadlineNanos = attributes.arrivedNanos() + Duration.ofMillis(limit).toNanos() - DEADLINE_MARGIN_NANOS;
-        if (dependencies.crashTracker().isPoison(attributes.fingerprint())) {
-            reject(ErrorKind.POISON_REQUEST, Optional.empty(), "the same request has crashed several targets");
-            return;
-        }
-        if (!admit()) {
+        if (!mayRun() || !admit()) {
             return;
         }
         dependencies.retryBudgets().recordRequest(resolved.service().name());
@@ -144,6 +145,14 @@
         resolved = ResolvedRequest.resolve(dependencies.activePlan().current(), attributes, dependencies.random());
     }
 
+    /** Refuses a request that would crash its target; one that may have run elsewhere counts as lost there. */
+    private boolean mayRun() {
+        final Optional<CrashGuard.Refusal> refusal = crashGuard.refusal();
+        refusal.ifPresent(
+                each -> reject(mayHaveExecuted ? ErrorKind.TARGET_LOST : each.kind(), Optional.empty(), each.reason()));
+        return refusal.isEmpty();
+    }
+
     private boolean admit() {
         if (resolved.team().isEmpty()) {
             return true;
@@ -323,9 +332,13 @@
             deadlineExpired();
             return;
         }
+        if (!mayRun()) {
+            return;
+        }
         attempts++;
         mayHaveExecuted = true;
         sentNanos = now;
+        crashGuard.attemptSent();
         dependencies.coldTargetLimiter().recordRequest(target.id());
         final OutgoingAttempt outgoing = new OutgoingAttempt(
                 target,
@@ -460,6 +473,7 @@
     private final class Attempt implements AttemptListener {
         private ResponseHead head;
         private boolean forwarded;
+        private int chunks;
         private long firstChunkMillis = -1;
         private long lastChunkNanos;
         private long longestPauseMillis;
@@ -480,6 +494,9 @@
         @Override
         public void chunk() {
             final long now = dependencies.timer().nanoTime();
+            if (++chunks == SURVIVED_CHUNKS && head.success()) {
+                crashGuard.targetResponded();
+            }
             if (firstChunkMillis < 0) {
                 firstChunk();
             } else {
@@ -548,6 +565,9 @@
 
         private void handleComplete(final TargetAnnouncement target) {
             if (forwarded) {
+                if (head.success()) {
+                    crashGuard.targetResponded();
+                }
                 dependencies.performance().ended(target.id(), head.serverError());
                 finish("answered_" + head.status(), "");
                 return;
@@ -593,7 +613,7 @@
         private void handleLost(final TargetAnnouncement target) {
             executions++;
             dependencies.performance().ended(target.id(), true);
-            dependencies.crashTracker().recordCrash(attributes.fingerprint(), target);
+            crashGuard.targetLost(target, progress());
             handleUnknownOutcome(target);
         }
 
@@ -601,7 +621,7 @@
             excluded.add(target.id());
             final boolean retry = resolved.route().repeatPolicy() == RepeatPolicy.SAFE
                     && executions < resolved.route().maxAttempts()
-                    && !dependencies.crashTracker().isPoison(attributes.fingerprint())
+                    && crashGuard.refusal().isEmpty()
                     && dependencies.retryBudgets().tryTake(resolved.service().name());
             if (retry) {
                 tryNextTarget();
@@ -610,9 +630,16 @@
             }
         }
 
+        private CrashGuard.Progress progress() {
+            if (head == null || notExecuted(head)) {
+                return CrashGuard.Progress.WAITING;
+            }
+            return chunks < SURVIVED_CHUNKS ? CrashGuard.Progress.BEGUN : CrashGuard.Progress.RESPONDING;
+        }
+
         private void handleBroken(final TargetAnnouncement target) {
             dependencies.performance().ended(target.id(), true);
-            dependencies.crashTracker().recordCrash(attributes.fingerprint(), target);
+            crashGuard.targetLost(target, progress());
             caller.abort();
             finish("answer_broken", "");
         }
--- a/balsambank-core/src/test/java/org/balsambank/core/request/ErrorKindExecutedTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/request/ErrorKindExecutedTest.java
@@ -43,7 +43,11 @@
             ErrorKind.BODY_TOO_LARGE, ErrorKind.HEADERS_TOO_LARGE, ErrorKind.SLOW_SENDER, ErrorKind.UNKNOWN_ROUTE);
     /** Kinds that the target gate reports before anything is sent. */
     private static final Set<ErrorKind> GATE_KINDS = EnumSet.of(
-            ErrorKind.OVERLOADED, ErrorKind.ADAPTER_LOAD_FAILED, ErrorKind.POISON_REQUEST, ErrorKind.ISOLATED);
+            ErrorKind.OVERLOADED,
+            ErrorKind.ADAPTER_LOAD_FAILED,
+            ErrorKind.POISON_REQUEST,
+            ErrorKind.POISON_PROMPT_PART,
+            ErrorKind.ISOLATED);
 
     private final EntryFixture fixture = new EntryFixture();
     private final Map<ErrorKind, Consumer<EntryFixture>> causes = new EnumMap<>(ErrorKind.class);
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -1,5 +1,8 @@
 package org.balsambank.core.serving;
 
+import java.util.List;
+
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.request.AttemptEnd;
@@ -16,13 +19,19 @@
 final class FakeAttempt implements TargetSender.AttemptHandle {
     final VmId from;
     final OutgoingAttempt outgoing;
+    final List<PromptPartId> parts;
     boolean cancelled;
     boolean written = true;
     private final AttemptListener listener;
 
-    FakeAttempt(final VmId from, final OutgoingAttempt outgoing, final AttemptListener listener) {
+    FakeAttempt(
+            final VmId from,
+            final OutgoingAttempt outgoing,
+            final List<PromptPartId> parts,
+            final AttemptListener listener) {
         this.from = from;
         this.outgoing = outgoing;
+        this.parts = parts;
         this.listener = listener;
     }
 
@@ -51,7 +60,16 @@
 
     /** Sends the head and first chunk of a success response. */
     void startResponse() {
+        sendHead();
+        sendChunk();
+    }
+
+    /** Sends the head of a success response. */
+    void sendHead() {
         listener.head(new ResponseHead(200, false, true, false));
+    }
+
+    void sendChunk() {
         listener.chunk();
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -24,6 +24,7 @@
 import org.balsambank.core.id.BaseModel;
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.Fingerprint;
+import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.id.ServiceName;
 import org.balsambank.core.id.TargetId;
@@ -72,6 +73,7 @@
     final TestEntryParser parser = new TestEntryParser();
     final List<FakeAttempt> attempts = new ArrayList<>();
     long wallSkewMillis;
+    private int uniqueRequests;
 
     private final int domains;
     private final FakeDecisionLoop operatorLoop = new FakeDecisionLoop(clock);
@@ -217,6 +219,21 @@
 
     /** Sends a request to a VM; its attempts are appended to the list of attempts. */
     FakeCaller sendRequest(final VmId vm, final String path, final Optional<AdapterKey> adapter, final long tokens) {
+        return sendRequest(vm, path, adapter, tokens, new Fingerprint("f" + path + tokens), List.of());
+    }
+
+    /** Sends a request that no other one equals, with some shared parts in its prompt. */
+    FakeCaller sendUniqueRequest(final VmId vm, final String path, final long tokens, final List<PromptPartId> parts) {
+        return sendRequest(vm, path, Optional.empty(), tokens, new Fingerprint("u" + ++uniqueRequests), parts);
+    }
+
+    private FakeCaller sendRequest(
+            final VmId vm,
+            final String path,
+            final Optional<AdapterKey> adapter,
+            final long tokens,
+            final Fingerprint fingerprint,
+            final List<PromptPartId> parts) {
         final FakeCaller caller = new FakeCaller();
         final Vm receiver = vms.get(vm);
         final RequestAttributes attributes = new RequestAttributes(
@@ -231,10 +248,10 @@
                 true,
                 4_000,
                 receiver.loop.timer().nanoTime(),
-                new Fingerprint("f" + path + tokens),
-                List.of());
+                fingerprint,
+                parts);
         caller.request = receiver.core.newRequest(attributes, caller, (outgoing, listener) -> {
-            final FakeAttempt attempt = new FakeAttempt(vm, outgoing, listener);
+            final FakeAttempt attempt = new FakeAttempt(vm, outgoing, parts, listener);
             attempts.add(attempt);
             return attempt;
         });
