Treat a stream that ends inside an event as broken off

Callers saw: nothing wrong, and that is the fault. A stream without a length or chunks ends with its connection; if its target crashed and the system closed the connection in order, the VM ended its own response as a complete one, in the middle of an event or without any.

Cause: the end of the connection was taken for the end of the response, whatever had arrived before. Class: an end that is not marked is taken for success.

Evidence: TargetResponseTest; six of its new cases failed before (COMPLETE where BROKEN is due), among them a chunked stream whose connection was used again. A stream now ends well only after a blank line; one without a length and without any event is broken off too, which also keeps such an end of a request with a deadly part from clearing that part. The caller's connection is reset, as for any broken stream.

Looked for the same elsewhere: the own interface ends a stream with a mark (data: [DONE]) and is not concerned.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
@@ -27,6 +28,7 @@
 final class TargetAttempt implements TargetSender.AttemptHandle {
     private static final int MAX_BUFFERED_BYTES = 1_048_576;
     private static final int MAX_BUFFER_COMPONENTS = 1_024;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final Dialect dialect;
     private final RequestId id;
@@ -39,6 +41,7 @@
     private TargetConnection connection;
     private HttpResponse head;
     private CompositeByteBuf buffer;
+    private EventStreamTail streamTail;
     private boolean foreignResponse;
     private boolean accepted;
     private boolean headForwarded;
@@ -155,6 +158,9 @@
             return false;
         }
         head = received;
+        if (isEventStream(received) && !hasNoBody()) {
+            streamTail = new EventStreamTail();
+        }
         if (buffered) {
             buffer = Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS);
         } else {
@@ -180,6 +186,9 @@
             chunk.release();
             return;
         }
+        if (streamTail != null) {
+            streamTail.append(chunk);
+        }
         if (buffer != null && buffer.readableBytes() + chunk.readableBytes() <= MAX_BUFFERED_BYTES) {
             buffer.addComponent(true, chunk);
             return;
@@ -191,14 +200,23 @@
     }
 
     /**
-     * Handles the last chunk of the body.
+     * Handles the last chunk of the body. A stream that ends inside an event was broken off.
      *
      * @param chunk the bytes; released by this method
+     * @return false if the response was broken off, so that the connection must not be reused
      */
-    void lastChunk(final ByteBuf chunk) {
+    boolean lastChunk(final ByteBuf chunk) {
         if (ended || head == null) {
             chunk.release();
-            return;
+            return true;
+        }
+        if (streamTail != null) {
+            streamTail.append(chunk);
+        }
+        if (endsInsideEvent()) {
+            chunk.release();
+            connectionLost();
+            return false;
         }
         if (buffer != null) {
             buffer.addComponent(true, chunk);
@@ -207,6 +225,20 @@
             forward(chunk, true);
         }
         finish(AttemptEnd.COMPLETE);
+        return true;
+    }
+
+    private static boolean isEventStream(final HttpResponse response) {
+        final String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+        return type.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+    }
+
+    private boolean endsInsideEvent() {
+        if (streamTail == null || streamTail.endsWithBlankLine()) {
+            return false;
+        }
+        final boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        return !framed || !streamTail.empty();
     }
 
     private void flushBuffer(final boolean last) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -163,7 +163,7 @@
         if (last) {
             currentAttempt = null;
             idleSinceNanos = System.nanoTime();
-            attempt.lastChunk(chunk.retain());
+            reusable &= attempt.lastChunk(chunk.retain());
             pool.release(this);
             return;
         }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -21,6 +21,8 @@
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -29,6 +31,7 @@
 /** Tests the handling of correct, truncated and malformed target responses. Confined to one thread. */
 final class TargetResponseTest {
     private static final String OWN = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nhello";
+    private static final String STREAM_HEAD = "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n";
     private static final String FOREIGN = "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 3\r\n\r\nold";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -78,6 +81,44 @@
         assertFalse(listener.last);
     }
 
+    // Guards against a stream that looks complete although its target crashed in the middle of an event.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "data: 1", "data: 1\n", "data: 1\n\ndata: 2\n", "data: 1\r\n\r\ndata: 2\r\n"})
+    void streamWithoutLengthThatEndsInsideAnEventIsBroken(final String events) {
+        receive(STREAM_HEAD + "\r\n" + events);
+        channel.close();
+        assertEquals(List.of(AttemptEnd.BROKEN), listener.ends);
+        assertFalse(listener.last);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"data: 1\n\n", "data: 1\r\n\r\n", "data: 1\r\r", ": note\n\ndata: 1\n\n"})
+    void streamWithoutLengthThatEndsAfterAnEventIsComplete(final String events) {
+        receive(STREAM_HEAD + "\r\n" + events);
+        channel.close();
+        assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
+        assertEquals(events, listener.body.toString());
+    }
+
+    // Guards against the reuse of a connection whose target has ended a stream inside an event.
+    @Test
+    void chunkedStreamThatEndsInsideAnEventIsBroken() {
+        receive(STREAM_HEAD + "Transfer-Encoding: chunked\r\n\r\n7\r\ndata: 1\r\n0\r\n\r\n");
+        assertEquals(List.of(AttemptEnd.BROKEN), listener.ends);
+        assertFalse(connection.reusable());
+    }
+
+    @Test
+    void chunkedStreamInManyPiecesIsComplete() {
+        receive(STREAM_HEAD + "Transfer-Encoding: chunked\r\n\r\n");
+        for (final char each : "data: 1\n\n".toCharArray()) {
+            receive("1\r\n" + each + "\r\n");
+        }
+        receive("0\r\n\r\n");
+        assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
+        assertTrue(connection.reusable());
+    }
+
     @Test
     void unsolicitedResponseClosesConnection() {
         receive(OWN);
