Tell a VM that starts later of the requests that crash targets

Callers saw (shown by a test, not reported): a request that had crashed two targets, and was refused by all VMs, ran a third time on a VM that had started since.

Cause: the crashes of a request were told once to the VMs of that moment; a full digest, which a VM gets when it starts or has lost one, left them out. Class: knowledge that is told as an event only, to those who are there.

Evidence: ServingFleetTest.vmThatStartsLaterRefusesARequestThatCrashedTwoTargets failed before. A full digest now has the crashes of all requests that must not run again; those of one crash only stay out, as each lost request has one.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -263,6 +263,9 @@
             residency.findReport(target).ifPresent(report -> digest.addHoldings(DigestCodec.residency(target, report)));
         }
         digest.addAllBroken(edge.crashesToSend());
+        if (full) {
+            digest.addAllBroken(crashTracker.poisonReports());
+        }
         final Set<PromptPartId> changedParts = edge.drainParts();
         for (final PromptPartId part : full ? crashTracker.parts().parts() : changedParts) {
             crashTracker.parts().report(part).ifPresent(digest::addParts);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -54,14 +54,18 @@
     public void recordCrash(final Fingerprint fingerprint, final TargetAnnouncement target) {
         final CrashId crash = crashOf(target);
         if (register.record(fingerprint, crash)) {
-            unreported.add(BrokenRuns.newBuilder()
-                    .setFingerprint(fingerprint.value())
-                    .setTarget(crash.target().value())
-                    .setBoot(crash.boot().value())
-                    .build());
+            unreported.add(report(fingerprint, crash));
         }
     }
 
+    private static BrokenRuns report(final Fingerprint fingerprint, final CrashId crash) {
+        return BrokenRuns.newBuilder()
+                .setFingerprint(fingerprint.value())
+                .setTarget(crash.target().value())
+                .setBoot(crash.boot().value())
+                .build();
+    }
+
     /**
      * Returns the crash that ends a target's current run.
      *
@@ -94,6 +98,18 @@
         return register.verdict(fingerprint) == PoisonRequestRegistry.Verdict.POISON;
     }
 
+    /**
+     * Returns the crashes of all requests that must not be run again, for a VM that may have missed their reports.
+     *
+     * @return one report per crash and request
+     */
+    public List<BrokenRuns> poisonReports() {
+        final List<BrokenRuns> reports = new ArrayList<>();
+        register.poison()
+                .forEach((fingerprint, crashes) -> crashes.forEach(crash -> reports.add(report(fingerprint, crash))));
+        return reports;
+    }
+
     /**
      * Returns the crashes observed by this VM since the last call.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -108,6 +109,21 @@
         return notices;
     }
 
+    /**
+     * Returns the requests that must not run again.
+     *
+     * @return the fingerprints with the verdict {@link Verdict#POISON} and their crashes
+     */
+    public Map<Fingerprint, Set<CrashId>> poison() {
+        final Map<Fingerprint, Set<CrashId>> poison = new HashMap<>();
+        records.forEach((fingerprint, known) -> {
+            if (known.crashes.size() >= POISON_THRESHOLD) {
+                poison.put(fingerprint, Set.copyOf(known.crashes));
+            }
+        });
+        return poison;
+    }
+
     /**
      * Returns the number of fingerprints with a recorded crash.
      *
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -12,6 +12,7 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.placement.AdapterKey;
+import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -256,6 +257,21 @@
         assertTrue(!usedTargets(0).contains(new TargetId("t0")));
     }
 
+    // Guards against a request that has crashed targets and is run again by a VM that starts later.
+    @Test
+    void vmThatStartsLaterRefusesARequestThatCrashedTwoTargets() {
+        for (int vm = 0; vm < 2; vm++) {
+            fleet.sendRequest(TestFleet.vm(vm), PLAIN, Optional.empty(), PLAIN_UNITS);
+            fleet.lastAttempt().end(AttemptEnd.LOST);
+            fleet.advance(1_000);
+        }
+        final VmId later = TestFleet.vm(VMS);
+        fleet.start(later);
+        fleet.advance(3_000);
+        final FakeCaller caller = fleet.sendRequest(later, PLAIN, Optional.empty(), PLAIN_UNITS);
+        assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
+    }
+
     private Set<TargetId> usedTargets(final int vm) {
         final Set<TargetId> used = new HashSet<>();
         for (int i = 0; i < 200; i++) {
