Try a suspect part of a prompt again, once in ten minutes and at one VM

Cause: the verdict of PromptPartTracker had no way back once no request with the part was in flight. Change: ten minutes after the last crash or trial, the VM that comes first for the part by rendezvous hashing sends one request with it. A response clears the part on all VMs; a crash keeps it suspect, and costs one target an interval in the whole fleet.

Tests, failing without the trial: DeadlyPromptPartTest.partIsServedAgainAfterATrialThatATargetSurvived and partThatStillCrashesTargetsCostsOneTargetAnInterval (the second also fails if each VM tries).

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -134,7 +134,7 @@
                 timer,
                 log);
         final TeamRateLimiter rateLimiter = new TeamRateLimiter(timer, members, settings.rateSlack());
-        final TargetCrashTracker crashTracker = new TargetCrashTracker(timer, log);
+        final TargetCrashTracker crashTracker = new TargetCrashTracker(timer, members, log);
         registry.gauge("balsambank.serving.parts.suspect", crashTracker.parts(), PromptPartTracker::suspects);
         final ColdTargetLimiter cold =
                 new ColdTargetLimiter(timer, members, settings.coldOverage(), settings.coldSlack());
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -177,8 +177,22 @@
 
     @Override
     public int rank(final TargetId target) {
+        return rank(target.value());
+    }
+
+    /**
+     * Returns whether this VM is the one of the fleet that decides about a subject. While registrations change, several
+     * VMs or none may be.
+     *
+     * @param subject the subject
+     * @return true if no other registered VM comes first
+     */
+    public boolean isFirstFor(final String subject) {
+        return rank(subject) == 0;
+    }
+
+    private int rank(final String subject) {
         return RendezvousHash.rank(
-                target.value(), self.value(), others().stream().map(each -> each.id()
-                        .value()));
+                subject, self.value(), others().stream().map(each -> each.id().value()));
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -29,11 +29,12 @@
      * Creates an instance without crashes.
      *
      * @param timer the timer service
+     * @param members the registered VMs, of which one grants the trials of a part
      * @param log the decision log
      */
-    public TargetCrashTracker(final TimerService timer, final DecisionLog log) {
+    public TargetCrashTracker(final TimerService timer, final FleetMembers members, final DecisionLog log) {
         register = new PoisonRequestRegistry(timer);
-        parts = new PromptPartTracker(timer, log);
+        parts = new PromptPartTracker(timer, part -> members.isFirstFor(part.value()), log);
     }
 
     /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.log.DecisionLog;
@@ -33,9 +34,11 @@
     private static final int MAX_PARTS_PER_REQUEST = 32;
     private static final int MIN_CRASHES = 2;
     private static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
+    private static final long TRIAL_INTERVAL_NANOS = Duration.ofMinutes(10).toNanos();
     private static final long SUSPECT_RETENTION_NANOS = Duration.ofHours(24).toNanos();
 
     private final TimerService timer;
+    private final Predicate<PromptPartId> grantsTrials;
     private final DecisionLog log;
     private final Map<PromptPartId, TrackedPart> tracked = new LinkedHashMap<>();
     private final Map<CrashId, Set<PromptPartId>> candidatesByCrash = new HashMap<>();
@@ -45,11 +48,14 @@
      * Creates an instance without evidence.
      *
      * @param timer the timer service
-     * @param log the decision log; gets a line for each crash of a part, and for each part that becomes suspect or
-     *     clear
+     * @param grantsTrials whether this VM is the one that grants the trials of a part
+     * @param log the decision log; gets a line for each crash of a part, for each trial, and for each part that becomes
+     *     suspect or clear
      */
-    public PromptPartTracker(final TimerService timer, final DecisionLog log) {
+    public PromptPartTracker(
+            final TimerService timer, final Predicate<PromptPartId> grantsTrials, final DecisionLog log) {
         this.timer = Objects.requireNonNull(timer);
+        this.grantsTrials = Objects.requireNonNull(grantsTrials);
         this.log = Objects.requireNonNull(log);
     }
 
@@ -142,6 +148,25 @@
                 .count();
     }
 
+    /**
+     * Grants a trial of a suspect part: one request of the fleet may run, ten minutes after the last crash or trial.
+     *
+     * <p>Its response clears the part, so that a wrong verdict ends; if it crashes its target, the part stays suspect.
+     *
+     * @param part the part, as returned by {@link #findCause}
+     * @return true if the request may be sent all the same
+     */
+    public boolean grantTrial(final PromptPartId part) {
+        final TrackedPart known = tracked.get(part);
+        final long now = timer.nanoTime();
+        if (known == null || now - known.touchedNanos < TRIAL_INTERVAL_NANOS || !grantsTrials.test(part)) {
+            return false;
+        }
+        tracked.put(part, new TrackedPart(known.evidence, known.changedNanos, now));
+        log.line("part_trial").with("part", part.value()).write();
+        return true;
+    }
+
     /**
      * Merges the evidence that another VM has reported.
      *
@@ -205,7 +230,8 @@
             return false;
         }
         tracked.remove(part);
-        tracked.put(part, new TrackedPart(after, timer.nanoTime()));
+        final long now = timer.nanoTime();
+        tracked.put(part, new TrackedPart(after, now, now));
         final boolean dropped = dropOld();
         if (dropped || before.candidate() || after.candidate()) {
             indexCandidates();
@@ -254,8 +280,11 @@
         });
     }
 
-    /** The evidence of one part, and when it last changed on the monotonic clock. Immutable and thread-safe. */
-    private record TrackedPart(PartEvidence evidence, long changedNanos) {}
+    /**
+     * The evidence of one part, when it last changed, and when it last changed or was tried, on the monotonic clock.
+     * Immutable and thread-safe.
+     */
+    private record TrackedPart(PartEvidence evidence, long changedNanos, long touchedNanos) {}
 
     /** The evidence known at one moment. Immutable and thread-safe. */
     public static final class Evidence {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
@@ -17,6 +17,7 @@
 final class CrashGuard {
     private final TargetCrashTracker tracker;
     private final RequestAttributes attributes;
+    private boolean trial;
     private PromptPartTracker.Evidence evidenceAtSend = PromptPartTracker.Evidence.EMPTY;
 
     /**
@@ -40,7 +41,9 @@
             return Optional.of(new Refusal(ErrorKind.POISON_REQUEST, "the same request has crashed several targets"));
         }
         final Optional<PromptPartId> cause = tracker.parts().findCause(attributes.sharedParts());
-        return cause.map(part -> new Refusal(ErrorKind.POISON_PROMPT_PART, "part " + part + " has crashed targets"));
+        trial = trial || cause.filter(tracker.parts()::grantTrial).isPresent();
+        return cause.filter(part -> !trial)
+                .map(part -> new Refusal(ErrorKind.POISON_PROMPT_PART, "part " + part + " has crashed targets"));
     }
 
     /** Records that an attempt is sent now. */
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/CrashingTargets.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/CrashingTargets.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,7 +40,7 @@
 
     CrashingTargets(final TestFleet fleet, final Set<PromptPartId> deadly) {
         this.fleet = fleet;
-        this.deadly = deadly;
+        this.deadly = new HashSet<>(deadly);
         attemptsSeen = fleet.attempts.size();
     }
 
@@ -57,6 +58,11 @@
         }
     }
 
+    /** Lets targets respond to all parts from now on. */
+    void mend() {
+        deadly.clear();
+    }
+
     /** Crashes a target without a cause in its requests. */
     void crash(final TargetId target) {
         crashMillis.add(nowMillis);
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
@@ -24,6 +24,7 @@
     private static final int VMS = 7;
     private static final int TARGETS = 13;
     private static final long STABLE_MILLIS = 3_000;
+    private static final long TRIAL_INTERVAL_MILLIS = 600_000;
     private static final int TOLERATED_CRASHES = 5;
     private static final int TOLERATED_REQUESTS = 3;
     private static final PromptPartId FIRST = new PromptPartId("f1");
@@ -34,6 +35,9 @@
     private final TestFleet fleet = new TestFleet(VMS, TARGETS);
     private final CrashingTargets targets = new CrashingTargets(fleet, Set.of(DEADLY, OTHER_DEADLY));
     private final List<FakeCaller> sound = new ArrayList<>();
+    /** The callers of the last requests with the deadly part, one at each VM. */
+    private final List<FakeCaller> everywhere = new ArrayList<>();
+
     private Random random = new Random(1);
 
     // Guards against requests with one part in common that crash target after target, as no two of them are alike.
@@ -90,6 +94,48 @@
         assertEquals(0, refusedSound());
     }
 
+    // Guards against a part that stays refused for good although targets no longer crash on it.
+    @Test
+    void partIsServedAgainAfterATrialThatATargetSurvived() {
+        sendFor(8_000, 0.02, List.of(DEADLY));
+        targets.mend();
+        sendEverywhere(2_000);
+        assertTrue(refusedEverywhere());
+        fleet.advance(TRIAL_INTERVAL_MILLIS);
+        sendEverywhere(2_000);
+        assertTrue(servedEverywhere());
+    }
+
+    // Guards against a trial at each VM, or again and again, of a part that still crashes targets.
+    @Test
+    void partThatStillCrashesTargetsCostsOneTargetAnInterval() {
+        sendFor(8_000, 0.02, List.of(DEADLY));
+        for (int interval = 0; interval < 3; interval++) {
+            fleet.advance(TRIAL_INTERVAL_MILLIS);
+            final int before = targets.crashMillis.size();
+            sendEverywhere(10_000);
+            assertEquals(1, targets.crashMillis.size() - before);
+            assertTrue(refusedEverywhere());
+        }
+    }
+
+    private void sendEverywhere(final long millis) {
+        for (long end = targets.nowMillis() + millis; targets.nowMillis() < end; targets.run(100)) {
+            everywhere.clear();
+            for (int vm = 0; vm < VMS; vm++) {
+                everywhere.add(send(vm, List.of(FIRST, CALLER, DEADLY)));
+            }
+        }
+    }
+
+    private boolean refusedEverywhere() {
+        return everywhere.stream().allMatch(caller -> caller.rejections.contains(ErrorKind.POISON_PROMPT_PART));
+    }
+
+    private boolean servedEverywhere() {
+        return everywhere.stream().allMatch(caller -> caller.rejections.isEmpty());
+    }
+
     private void assertFewDeadlyRequestsAfterTheFifthCrash() {
         assertTrue(targets.crashMillis.size() >= 2, "crashes " + targets.crashMillis);
         if (targets.crashMillis.size() < TOLERATED_CRASHES) {
