--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
@@ -125,21 +125,17 @@
      * Finds a reason to refuse a request.
      *
      * @param parts the shared parts of its prompt
-     * @return a part that crashes targets, empty if the request may be sent
+     * @return those of which one crashes targets, empty if the request may be sent
      */
-    public Optional<PromptPartId> findCause(final List<PromptPartId> parts) {
-        final Set<PromptPartId> candidates = new HashSet<>();
-        Optional<PromptPartId> suspect = Optional.empty();
-        for (final PromptPartId part : candidatesByCrash.isEmpty() ? List.<PromptPartId>of() : parts) {
-            final PartEvidence evidence = evidenceOf(part);
-            if (evidence.candidate()) {
-                candidates.add(part);
-            }
-            if (evidence.suspect() && suspect.isEmpty()) {
-                suspect = Optional.of(part);
-            }
+    public List<PromptPartId> findCauses(final List<PromptPartId> parts) {
+        if (candidatesByCrash.isEmpty()) {
+            return List.of();
         }
-        return suspect.filter(part -> crashesExplainedOnlyBy(candidates) >= MIN_CRASHES);
+        final List<PromptPartId> candidates =
+                parts.stream().filter(part -> evidenceOf(part).candidate()).toList();
+        final boolean suspect =
+                candidates.stream().anyMatch(part -> evidenceOf(part).suspect());
+        return suspect && crashesExplainedOnlyBy(Set.copyOf(candidates)) >= MIN_CRASHES ? candidates : List.of();
     }
 
     private long crashesExplainedOnlyBy(final Set<PromptPartId> candidates) {
@@ -149,21 +145,25 @@
     }
 
     /**
-     * Grants a trial of a suspect part: one request of the fleet may run, ten minutes after the last crash or trial.
+     * Grants a trial of suspect parts: one request of the fleet may run, ten minutes after the last crash or trial.
      *
-     * <p>Its response clears the part, so that a wrong verdict ends; if it crashes its target, the part stays suspect.
+     * <p>Its response clears the parts, so that a wrong verdict ends; if it crashes its target, they stay suspect.
      *
-     * @param part the part, as returned by {@link #findCause}
+     * @param causes the parts, as returned by {@link #findCauses}
      * @return true if the request may be sent all the same
      */
-    public boolean grantTrial(final PromptPartId part) {
-        final TrackedPart known = tracked.get(part);
+    public boolean grantTrial(final List<PromptPartId> causes) {
         final long now = timer.nanoTime();
-        if (known == null || now - known.touchedNanos < TRIAL_INTERVAL_NANOS || !grantsTrials.test(part)) {
+        final boolean due =
+                causes.stream().allMatch(part -> now - tracked.get(part).touchedNanos >= TRIAL_INTERVAL_NANOS);
+        if (causes.isEmpty() || !due || !grantsTrials.test(causes.get(0))) {
             return false;
         }
-        tracked.put(part, new TrackedPart(known.evidence, known.changedNanos, now));
-        log.line("part_trial").with("part", part.value()).write();
+        for (final PromptPartId part : causes) {
+            final TrackedPart known = tracked.get(part);
+            tracked.put(part, new TrackedPart(known.evidence, known.changedNanos, now));
+            log.line("part_trial").with("part", part.value()).write();
+        }
         return true;
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
@@ -1,5 +1,6 @@
 package org.balsambank.core.serving.request;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -40,10 +41,11 @@
         if (tracker.isPoison(attributes.fingerprint())) {
             return Optional.of(new Refusal(ErrorKind.POISON_REQUEST, "the same request has crashed several targets"));
         }
-        final Optional<PromptPartId> cause = tracker.parts().findCause(attributes.sharedParts());
-        trial = trial || cause.filter(tracker.parts()::grantTrial).isPresent();
-        return cause.filter(part -> !trial)
-                .map(part -> new Refusal(ErrorKind.POISON_PROMPT_PART, "part " + part + " has crashed targets"));
+        final List<PromptPartId> causes = tracker.parts().findCauses(attributes.sharedParts());
+        trial = trial || tracker.parts().grantTrial(causes);
+        return causes.isEmpty() || trial
+                ? Optional.empty()
+                : Optional.of(new Refusal(ErrorKind.POISON_PROMPT_PART, "targets crash on one of the parts " + causes));
     }
 
     /** Records that an attempt is sent now. */
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/poison/PromptPartTrackerTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/poison/PromptPartTrackerTest.java
@@ -136,7 +136,7 @@
     private boolean refused(final PromptPartId... parts) {
         final List<PromptPartId> all = new ArrayList<>(List.of(parts));
         all.add(new PromptPartId("ff"));
-        return tracker.findCause(all).isPresent();
+        return !tracker.findCauses(all).isEmpty();
     }
 
     private static CrashId crash(final int target) {
