Give up requests that wait at targets when their part of the prompt becomes suspect

Requests with the part that had been sent before the verdict waited at their targets for up to 1.5 s and then crashed them, with all that ran beside them.

Change: PromptPartTracker signals each change of its verdicts; a request whose response has not begun asks again whether it may run. Its attempt is cancelled, which resets the connection, and its caller gets target_lost (it may have run), or poison_prompt_part if nothing was written. Requests that wait at the VM end at once in the same way.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.subjects.PublishSubject;
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.target.CrashId;
@@ -43,6 +45,8 @@
     private final Map<PromptPartId, TrackedPart> tracked = new LinkedHashMap<>();
     private final Map<CrashId, Set<PromptPartId>> candidatesByCrash = new HashMap<>();
     private final Set<PromptPartId> changed = new HashSet<>();
+    private final PublishSubject<PromptPartTracker> verdicts = PublishSubject.create();
+    private boolean verdictsPending;
 
     /**
      * Creates an instance without evidence.
@@ -138,6 +142,26 @@
         return suspect && crashesExplainedOnlyBy(Set.copyOf(candidates)) >= MIN_CRASHES ? candidates : List.of();
     }
 
+    /**
+     * Returns a signal after each change of a verdict, on the decision loop and never within a call of this tracker.
+     *
+     * @return emits this tracker; never completes
+     */
+    public Observable<PromptPartTracker> verdicts() {
+        return verdicts;
+    }
+
+    private void signalVerdicts() {
+        if (verdictsPending || !verdicts.hasObservers()) {
+            return;
+        }
+        verdictsPending = true;
+        timer.after(Duration.ZERO).subscribe(() -> {
+            verdictsPending = false;
+            verdicts.onNext(this);
+        });
+    }
+
     private long crashesExplainedOnlyBy(final Set<PromptPartId> candidates) {
         return candidatesByCrash.values().stream()
                 .filter(candidates::containsAll)
@@ -235,6 +259,7 @@
         final boolean dropped = dropOld();
         if (dropped || before.candidate() || after.candidate()) {
             indexCandidates();
+            signalVerdicts();
         }
         if (before.suspect() != after.suspect()) {
             log.line(after.suspect() ? "part_suspect" : "part_cleared")
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.reactivex.rxjava3.core.Observable;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.serving.fleet.TargetCrashTracker;
@@ -48,6 +49,13 @@
                 : Optional.of(new Refusal(ErrorKind.POISON_PROMPT_PART, "targets crash on one of the parts " + causes));
     }
 
+    /** Returns a signal after which the request may have to be refused, although it may run now. */
+    Observable<PromptPartTracker> verdicts() {
+        return attributes.sharedParts().isEmpty()
+                ? Observable.never()
+                : tracker.parts().verdicts();
+    }
+
     /** Records that an attempt is sent now. */
     void attemptSent() {
         evidenceAtSend = tracker.parts().evidence(attributes.sharedParts());
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -60,6 +60,7 @@
     private long deadlineNanos;
     private Disposable deadline = Disposable.disposed();
     private Disposable pendingWait = Disposable.disposed();
+    private Disposable verdicts = Disposable.disposed();
     private TargetSender.AttemptHandle currentAttempt;
     private InFlightRequests.InFlightRequest inFlight;
     private TargetChoice choice;
@@ -117,9 +118,19 @@
                 .timer()
                 .after(Duration.ofNanos(Math.max(0, deadlineNanos - now)))
                 .subscribe(this::deadlineExpired);
+        verdicts = crashGuard.verdicts().subscribe(ignored -> verdictChanged());
         tryNextTarget();
     }
 
+    /** Gives the request up if it would crash its target; a response that has begun goes on. */
+    private void verdictChanged() {
+        if (ended || responding || crashGuard.refusal().isEmpty()) {
+            return;
+        }
+        cancelAttempt();
+        mayRun();
+    }
+
     /** Cancels the request, as the caller has disconnected. */
     public void callerGone() {
         if (ended) {
@@ -412,6 +423,7 @@
         endInFlight();
         deadline.dispose();
         pendingWait.dispose();
+        verdicts.dispose();
         dependencies.metrics().outcome(outcome);
         line("ended")
                 .with("outcome", outcome)
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/CrashingTargets.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/CrashingTargets.java
@@ -19,10 +19,7 @@
  */
 final class CrashingTargets {
     private static final long STEP_MILLIS = 10;
-    private static final long HEAD_MILLIS = 200;
-    private static final long FIRST_CHUNK_MILLIS = 250;
-    private static final long SECOND_CHUNK_MILLIS = 300;
-    private static final long END_MILLIS = 400;
+    private static final long CHUNK_MILLIS = 50;
     private static final long DOWN_MILLIS = 3_000;
 
     /** The times at which targets crashed, in milliseconds since the start. */
@@ -30,6 +27,9 @@
     /** The times at which attempts with a deadly part were sent, in milliseconds since the start. */
     final List<Long> deadlySendMillis = new ArrayList<>();
 
+    /** How long a request waits at a target before its response begins. */
+    long waitMillis = 200;
+
     private final TestFleet fleet;
     private final Set<PromptPartId> deadly;
     private final List<Run> runs = new ArrayList<>();
@@ -101,22 +101,25 @@
             return;
         }
         final long age = nowMillis - run.sentMillis;
-        if (run.stage == 0 && age >= HEAD_MILLIS) {
-            run.stage = 1;
-            run.attempt.sendHead();
-        } else if (run.stage == 1 && age >= FIRST_CHUNK_MILLIS) {
-            if (isDeadly(run.attempt)) {
-                crash(run.attempt.target());
-                return;
+        if (age < waitMillis + run.stage * CHUNK_MILLIS) {
+            return;
+        }
+        switch (run.stage++) {
+            case 0 -> run.attempt.sendHead();
+            case 1 -> sendFirstChunk(run.attempt);
+            case 2 -> run.attempt.sendChunk();
+            default -> {
+                runs.remove(run);
+                run.attempt.end(AttemptEnd.COMPLETE);
             }
-            run.stage = 2;
-            run.attempt.sendChunk();
-        } else if (run.stage == 2 && age >= SECOND_CHUNK_MILLIS) {
-            run.stage = 3;
-            run.attempt.sendChunk();
-        } else if (run.stage == 3 && age >= END_MILLIS) {
-            runs.remove(run);
-            run.attempt.end(AttemptEnd.COMPLETE);
+        }
+    }
+
+    private void sendFirstChunk(final FakeAttempt attempt) {
+        if (isDeadly(attempt)) {
+            crash(attempt.target());
+        } else {
+            attempt.sendChunk();
         }
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
@@ -58,6 +58,25 @@
         assertEquals(0, refusedSound());
     }
 
+    // Guards against targets that crash on requests which were sent before their part became suspect.
+    @Test
+    void requestsThatWaitAtTargetsAreGivenUpWhenTheirPartBecomesSuspect() {
+        targets.waitMillis = 1_000;
+        send(0, List.of(FIRST, DEADLY));
+        targets.run(2_000);
+        send(1, List.of(FIRST, DEADLY));
+        targets.run(900);
+        final List<FakeCaller> waiting = new ArrayList<>();
+        for (int vm = 2; vm < VMS; vm++) {
+            waiting.add(send(vm, List.of(FIRST, DEADLY)));
+        }
+        final FakeCaller other = send(2, List.of(FIRST, CALLER));
+        targets.run(2_000);
+        assertEquals(2, targets.crashMillis.size());
+        waiting.forEach(caller -> assertEquals(ErrorKind.TARGET_LOST, caller.rejection()));
+        assertEquals(List.of(), other.rejections);
+    }
+
     // Guards against two deadly parts at once that hide behind a sound part which comes with both.
     @Test
     void twoDeadlyPartsAtOnceAreBothRefused() {
