Start the totals of an edge anew when its other end opens it anew

Cause: VMs tell each other the units that teams used as totals of a session of an edge of the aggregation tree. The root stopped, its VMs attached to another one, and came back within 0.9 s as the root had registered again. Class: a total is read by one who no longer knows where it began.

Ruled out: a cycle in the tree (AggregationTree only attaches to VMs that precede), a digest that is sent twice (totals).

Change: an end that sees a new session of the other one starts its totals anew, with what was not acknowledged.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
@@ -21,7 +21,8 @@
  *
  * <p>The digests of each direction are numbered within a session, and each acknowledges the last one applied from the
  * other direction. A digest that was not acknowledged is followed by a full one. Units are sent as totals since the
- * start of the session, so that a repeated digest is counted once. Confined to the decision loop.
+ * start of the session, so that a repeated digest is counted once; they start anew when the other end opens the edge
+ * anew, as it no longer knows the totals that it took over. Confined to the decision loop.
  */
 final class TreeEdge {
     private final VmId other;
@@ -182,6 +183,9 @@
             sentCrashes.clear();
             acknowledgedUnits = sentUnits;
         }
+        if (receivedSession != 0 && digest.getSession() != receivedSession) {
+            forgetAcknowledgedUnits();
+        }
         revision = digest.getRevision();
         vms = digest.getVms();
         readers = digest.getReaders();
@@ -215,6 +219,16 @@
         return result;
     }
 
+    /** Starts the totals anew for an edge that the other end has opened anew, without those it took over before. */
+    private void forgetAcknowledgedUnits() {
+        final Map<TeamId, Long> remaining = unacknowledgedUnits();
+        units.clear();
+        units.putAll(remaining);
+        changedTeams.addAll(remaining.keySet());
+        sentUnits = Map.of();
+        acknowledgedUnits = Map.of();
+    }
+
     /** Returns whether any digest was received over this edge. */
     boolean hasReceived() {
         return receivedNumber > 0;
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -225,6 +225,21 @@
         assertTrue(units < rate * seconds * 1.1, "units " + units);
     }
 
+    // Guards against requests of teams within their rates that all VMs refuse after a few planned stops.
+    @Test
+    void plannedStopsInTurnDoNotCountAdmittedUnitsAgain() {
+        final double rate = 100_000;
+        fleet.writePlan(2, List.of(TestFleet.KEY), rate);
+        sendAtAll(20_000);
+        for (int vm = 0; vm < VMS - 1; vm++) {
+            fleet.vms.get(TestFleet.vm(vm)).core.handOver().subscribe();
+            sendAtAll(1_000);
+        }
+        final int before = fleet.attempts.size();
+        sendAtAll(3_000);
+        assertEquals(300, fleet.attempts.size() - before);
+    }
+
     private void sendAtOthers(final int millis) {
         sendAt(VMS - 1, millis);
     }
