Refuse connections in the store test by a port that never had a listener

Cause: the test closed a Vert.x server and connected to its port. The future of close() completes before the listening socket is closed: the JDK closes a channel registered with a selector only when the event loop selects again. Until then the kernel accepts, and the connection is reset afterwards. The sender answers UNKNOWN, rightly: a connection was open for the request.

Ruled out: a fault of HttpRequestSender (UNAVAILABLE promises that no connection was open); a time limit (the failure came at once, the call may take 20 s).

Change: the port is bound by a socket that never listens and is held during the call, so it refuses always and nobody else can take it. The assertion is the same.

--- a/balsambank-coordination/src/test/java/org/balsambank/coordination/HttpKeyValueStoreTest.java
+++ b/balsambank-coordination/src/test/java/org/balsambank/coordination/HttpKeyValueStoreTest.java
@@ -1,5 +1,7 @@
 package org.balsambank.coordination;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -120,12 +122,11 @@
 
     @Test
     void refusedConnectionFailsAsUnavailable() throws Exception {
-        final int unusedPort = vertx.createNetServer()
-                .connectHandler(socket -> {})
-                .listen(0, HOST)
-                .compose(server -> server.close().map(server.actualPort()))
-                .await(MAX_WAIT_SECONDS, TimeUnit.SECONDS);
-        assertEquals(Reason.UNAVAILABLE, reason(swap(store(unusedPort))));
+        // A closed Vert.x server accepts until its event loop selects again; a bound port without listener refuses.
+        try (Socket refusing = new Socket()) {
+            refusing.bind(new InetSocketAddress(HOST, 0));
+            assertEquals(Reason.UNAVAILABLE, reason(swap(store(refusing.getLocalPort()))));
+        }
     }
 
     @Test
