Take the epoch of a target out of OwnedTarget

Behaviour is unchanged: the 100 tests of core.target and core.request pass, among them the random gate test and the fleet simulation. The serving path of the users' platform uses no class that changed.

--- a/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
@@ -30,11 +30,6 @@
  */
 final class OwnedTarget implements LoaderHost {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    /** Upper bound on the time from the gain of a target until no command of the previous owner is in flight. */
-    private static final Duration PREVIOUS_OWNER_COMMAND_TIME =
-            AdapterLoader.LOAD_TIMEOUT.plus(AdapterResidency.REPORT_LAG);
-
-    private static final Epoch FIRST_EPOCH = new Epoch(1);
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
     private static final int MAX_FAILED_REPORTS = 3;
     private static final int QUEUED_PER_PERMIT = 4;
@@ -52,20 +47,16 @@
     private final ExternalLoad externalLoad = new ExternalLoad();
     private final SlowStart slowStart;
     private final CrashDetector crashDetector;
+    private final TargetEpoch epoch;
 
     private Target target;
     private boolean inService = true;
-    private Optional<Epoch> epoch = Optional.empty();
     private Optional<BootId> boot = Optional.empty();
-    private boolean fenced;
-    private boolean awaitsReport;
     private boolean reportInFlight;
     private long reportRequestedNanos;
     private boolean anotherReportNeeded;
     private int failedReports;
     private boolean unreachable;
-    private long reportsTrustedAfterNanos;
-    private long commandsAllowedAfterNanos;
     private int inUse;
     private boolean grantingPermits;
 
@@ -84,6 +75,7 @@
         this.loader = new AdapterLoader(context, this, residency);
         this.slowStart = new SlowStart(target.concurrency());
         this.crashDetector = new CrashDetector(target.id(), context);
+        this.epoch = new TargetEpoch(context.ownership(), partition, context.timers());
     }
 
     /**
@@ -135,7 +127,7 @@
             loader.reset();
             return;
         }
-        if (awaitsReport && !reportInFlight && now() - reportsTrustedAfterNanos >= 0) {
+        if (epoch.awaitsReport() && !reportInFlight && epoch.trustsReports()) {
             requestReport();
         }
         if (queue.size() > 0 || loader.hasPendingLoads()) {
@@ -149,7 +141,7 @@
     /** Requests a report if this VM owns the target and the target is in service or still runs requests. */
     void poll() {
         syncOwnership();
-        if (epoch.isPresent() && (inService || inUse > 0)) {
+        if (epoch.newest().isPresent() && (inService || inUse > 0)) {
             requestReport();
         }
     }
@@ -190,8 +182,7 @@
 
     @Override
     public Optional<Epoch> commandEpoch() {
-        final boolean tooEarly = awaitsReport || now() - commandsAllowedAfterNanos < 0;
-        return unavailability().isPresent() || tooEarly ? Optional.empty() : currentEpoch();
+        return unavailability().isPresent() || epoch.commandsWait() ? Optional.empty() : epoch.current();
     }
 
     @Override
@@ -213,8 +204,10 @@
 
     @Override
     public void onFenced() {
-        fenced = true;
-        LOGGER.atWarning().log("event=target_fenced target=%s epoch=%s", target.id(), epoch.orElse(null));
+        epoch.fence();
+        LOGGER.atWarning().log(
+                "event=target_fenced target=%s epoch=%s",
+                target.id(), epoch.newest().orElse(null));
         tick();
     }
 
@@ -246,18 +239,11 @@
     }
 
     private void syncOwnership() {
-        final Optional<Epoch> held = context.ownership().heldEpoch(partition);
-        if (held.isPresent() && !held.equals(epoch)) {
-            epoch = held;
-            fenced = false;
-            awaitsReport = true;
+        if (epoch.adopt()) {
             unreachable = false;
             failedReports = 0;
-            final boolean first = held.get().equals(FIRST_EPOCH);
-            reportsTrustedAfterNanos = now() + (first ? 0 : AdapterResidency.REPORT_LAG.toNanos());
-            commandsAllowedAfterNanos = now() + (first ? 0 : PREVIOUS_OWNER_COMMAND_TIME.toNanos());
             loader.reset();
-            residency.ownershipGained(reportsTrustedAfterNanos);
+            residency.ownershipGained(epoch.reportsTrustedAfterNanos());
             requestReport();
         }
     }
@@ -265,8 +251,7 @@
     private void onReport(final TargetReport report) {
         reportInFlight = false;
         processReport(report);
-        if (awaitsReport && reportRequestedNanos - reportsTrustedAfterNanos >= 0) {
-            awaitsReport = false;
+        if (epoch.reportArrived(reportRequestedNanos)) {
             slowStart.resumeAt(report.running());
         }
         afterReport();
@@ -305,7 +290,7 @@
         failedReports++;
         final boolean decidesCrashes = crashDetector.hasAwaitingRequests();
         crashDetector.onReportFailed();
-        if (!unreachable && (decidesCrashes || awaitsReport || failedReports >= MAX_FAILED_REPORTS)) {
+        if (!unreachable && (decidesCrashes || epoch.awaitsReport() || failedReports >= MAX_FAILED_REPORTS)) {
             unreachable = true;
             slowStart.restart();
             LOGGER.atWarning().log("event=target_unreachable target=%s", target.id());
@@ -353,14 +338,7 @@
         if (!inService || unreachable) {
             return Optional.of(ErrorKind.NO_TARGET);
         }
-        return currentEpoch().isEmpty() ? Optional.of(ErrorKind.NO_OWNER) : Optional.empty();
-    }
-
-    private Optional<Epoch> currentEpoch() {
-        return fenced
-                ? Optional.empty()
-                : context.ownership().heldEpoch(partition).filter(held -> epoch.filter(held::equals)
-                        .isPresent());
+        return epoch.current().isEmpty() ? Optional.of(ErrorKind.NO_OWNER) : Optional.empty();
     }
 
     private void enqueue(final QueuedRequest queuedRequest) {
@@ -399,7 +377,9 @@
     }
 
     private boolean grantNextPermit() {
-        if (awaitsReport || unavailability().isPresent() || inUse + externalLoad.estimate() >= slowStart.limit()) {
+        if (epoch.awaitsReport()
+                || unavailability().isPresent()
+                || inUse + externalLoad.estimate() >= slowStart.limit()) {
             return false;
         }
         final Optional<QueuedRequest> next = queue.poll(this::ready);
@@ -482,7 +462,7 @@
     /** A permit for this target. Confined to the decision loop. */
     private final class Permit implements TargetPermit {
         private final QueuedRequest queuedRequest;
-        private final Epoch permitEpoch = epoch.orElseThrow();
+        private final Epoch permitEpoch = epoch.newest().orElseThrow();
         private final BootId bootAtStart = boot.orElseThrow();
         private final long sinceNanos = now();
         private boolean released;
@@ -493,7 +473,7 @@
 
         @Override
         public Optional<Epoch> epochToSend() {
-            return released || !inService ? Optional.empty() : currentEpoch().filter(permitEpoch::equals);
+            return released || !inService ? Optional.empty() : epoch.current().filter(permitEpoch::equals);
         }
 
         @Override
