--- a/balsambank-core/src/main/java/org/balsambank/core/id/PromptPartId.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/id/PromptPartId.java
@@ -5,7 +5,7 @@
  *
  * <p>Immutable and thread-safe. The value is never empty.
  *
- * @param value the id as the caller sent it
+ * @param value the id in the form in which VMs compare it
  */
 public record PromptPartId(String value) {
     /**
