--- a/review/standins/DeadlyRequest.java
+++ b/review/standins/DeadlyRequest.java
@@ -20,6 +20,7 @@
  */
 final class DeadlyRequest {
     private static final List<String> ZONES = List.of("belen", "laureles", "poblado", "envigado");
+    private static final int MACHINES = 7;
     private static final int RUNNERS = 8;
     private static final int THIRD = 3;
     private static final int MAX_RETRIES = 3;
@@ -54,9 +55,10 @@
             new CrashingRunner("i-app-" + i, ZONES.get(i % ZONES.size()), store);
         }
         final List<Vm> vms = new ArrayList<>();
-        for (int i = 0; i < ZONES.size(); i++) {
-            vms.add(new Vm(Path.of("").toAbsolutePath(), folder, "front-" + ZONES.get(i) + "-1", "127.0.0." + (11 + i),
-                    ZONES.get(i), store.address()));
+        for (int i = 0; i < MACHINES; i++) {
+            final String zone = ZONES.get(i % ZONES.size());
+            vms.add(new Vm(Path.of("").toAbsolutePath(), folder, "front-" + zone + "-" + (1 + i / ZONES.size()),
+                    "127.0.0." + (11 + i), zone, store.address()));
         }
         try {
             start(vms);
