--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -10,8 +10,8 @@
     private final long startNanos = System.nanoTime();
     private final PrintWriter out;
 
-    Record(final Path folder) throws IOException {
-        out = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
+    Record(final Path file) throws IOException {
+        out = new PrintWriter(Files.newBufferedWriter(file));
     }
 
     /** Returns the milliseconds since the start of the case. */
--- a/review/standins/StopDuringUpload.java
+++ b/review/standins/StopDuringUpload.java
@@ -24,9 +24,8 @@
     private StopDuringUpload() {}
 
     public static void main(final String[] arguments) throws Exception {
-        final Path folder = Path.of(arguments[0]).toAbsolutePath();
         final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        try (Record record = new Record(folder)) {
+        try (Record record = new Record(Path.of(arguments[0]))) {
             final Store store = new Store("127.0.0.1");
             store.put("op/config", Deployment.config());
             final AtomicInteger runs = new AtomicInteger();
