Take a body without a length as complete only if the end of the stream was read

Cause: the decoder ends such a body whenever its channel closes, and only exceptionCaught told TargetConnection that this was no proper end. A channel that a failed write closes fires none. Ruled out: an end of the stream read in place of the reset (no read ran), and an exception that comes too late (none comes).

Change: channels allow half-closure, so that an end that was read arrives while the channel is active; content that ends on an inactive channel is broken off. A connection whose input has ended is not pooled. The same in PooledHttpClient, which took a reset response of the platform or of an order for a whole one. The product's own interface accepts no body without framing.

TargetResponseTest played the end of a stream by closing the channel, which a failed write does too; it now fires the event of a socket channel, and the close alone must break the body.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -12,13 +12,13 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -91,6 +91,7 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -110,7 +111,7 @@
                     } else if (emitter.isDisposed()) {
                         done.channel().close();
                     } else {
-                        connection.channel = done.channel();
+                        connection.channel = (SocketChannel) done.channel();
                         connection.send(request, emitter, timeout);
                     }
                 });
@@ -154,7 +155,7 @@
     /** A connection that carries at most one request at a time and returns to the pool after the response. */
     private final class PooledConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final String address;
-        private Channel channel;
+        private SocketChannel channel;
         private SingleEmitter<Response> currentEmitter;
         private Future<?> timeoutTask;
         private long idleSinceNanos;
@@ -164,7 +165,7 @@
         }
 
         boolean usable(final long now) {
-            return channel.isActive() && now - idleSinceNanos < MAX_IDLE_NANOS;
+            return open() && now - idleSinceNanos < MAX_IDLE_NANOS;
         }
 
         void send(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
@@ -197,6 +198,10 @@
             channel.writeAndFlush(httpRequest);
         }
 
+        private boolean open() {
+            return channel.isActive() && !channel.isInputShutdown();
+        }
+
         void close() {
             channel.close();
         }
@@ -219,13 +224,17 @@
                 fail(new IOException("malformed response"));
                 return;
             }
+            if (!channel.isActive()) {
+                fail(new IOException("connection closed without the end of the response"));
+                return;
+            }
             final byte[] body = new byte[response.content().readableBytes()];
             response.content().readBytes(body);
             timeoutTask.cancel(false);
             final SingleEmitter<Response> emitter = currentEmitter;
             currentEmitter = null;
             idleSinceNanos = System.nanoTime();
-            if (HttpUtil.isKeepAlive(response)) {
+            if (HttpUtil.isKeepAlive(response) && open()) {
                 idle.get(address).addLast(this);
             } else {
                 context.close();
@@ -233,6 +242,14 @@
             emitter.onSuccess(new Response(response.status().code(), body));
         }
 
+        @Override
+        public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
+            if (event instanceof ChannelInputShutdownEvent) {
+                fail(new IOException("connection closed"));
+            }
+            super.userEventTriggered(context, event);
+        }
+
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
             fail(cause);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
@@ -1,5 +1,7 @@
 package org.balsambank.gateway.target;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -14,6 +16,7 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private boolean noBody;
+    private boolean inputEnded;
 
     /**
      * Creates a decoder that expects response bodies.
@@ -31,6 +34,21 @@
         this.noBody = noBody;
     }
 
+    /**
+     * Returns whether the target has ended its side of the connection.
+     *
+     * @return true once all bytes of the target were read and its end of the stream after them; false after a reset
+     */
+    boolean inputEnded() {
+        return inputEnded;
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
+        inputEnded |= event instanceof ChannelInputShutdownEvent;
+        super.userEventTriggered(context, event);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(final HttpMessage message) {
         return noBody || super.isContentAlwaysEmpty(message);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -20,8 +21,9 @@
 /**
  * One connection to a target. Carries one request at a time.
  *
- * <p>Invariants: unsolicited bytes close the connection; a body without a length is complete only if the connection
- * was closed without an error. Confined to the decision loop.
+ * <p>Invariants: unsolicited bytes close the connection; a body without a length is complete only if the end of the
+ * target's stream was read. A closed channel does not show that: a reset closes it too, without an exception if a write
+ * was the first to notice it. The channel must therefore allow half-closure. Confined to the decision loop.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
@@ -154,6 +156,10 @@
         if (informational) {
             return;
         }
+        if (last && !channel.isActive()) {
+            connectionLost();
+            return;
+        }
         final ByteBuf chunk = content.content();
         final TargetAttempt attempt = currentAttempt;
         if (last && attempt.foreignResponse()) {
@@ -176,10 +182,18 @@
     /**
      * Returns whether the connection may return to the pool.
      *
-     * @return false after a protocol violation or a request to close the connection
+     * @return false after a protocol violation, a request to close the connection, or its end
      */
     boolean reusable() {
-        return reusable && channel.isActive();
+        return reusable && channel.isActive() && !decoder.inputEnded();
+    }
+
+    @Override
+    public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
+        if (event instanceof ChannelInputShutdownEvent) {
+            connectionLost();
+        }
+        super.userEventTriggered(context, event);
     }
 
     @Override
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -92,6 +92,7 @@
                 .group(group)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -11,11 +11,12 @@
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.ResponseHead;
 
-/** Records the response chunks and the ends of attempts. Confined to one thread, except for the latch. */
+/** Records the response chunks and the ends of attempts. Confined to one thread, except for the latches. */
 final class RecordingListener implements ResponseSink, AttemptListener {
     final StringBuilder body = new StringBuilder();
     final List<AttemptEnd> ends = new ArrayList<>();
     final CountDownLatch chunkSeen = new CountDownLatch(1);
+    final CountDownLatch hasEnded = new CountDownLatch(1);
     boolean last;
     boolean writable = true;
 
@@ -52,5 +53,6 @@
     @Override
     public void ended(final AttemptEnd end) {
         ends.add(end);
+        hasEnded.countDown();
     }
 }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/SmallReceiver.java
@@ -54,9 +54,7 @@
      * of the sender's event loop, which closes a socket not before its next select.
      */
     String receiveRest(final EventLoopGroup sender) throws IOException, InterruptedException {
-        final CountDownLatch polled = new CountDownLatch(1);
-        sender.execute(() -> NextPoll.runAfter(sender.next(), polled::countDown));
-        polled.await();
+        awaitPoll(sender);
         final StringBuilder text = new StringBuilder();
         final InputStream in = accepted.getInputStream();
         try {
@@ -69,6 +67,13 @@
         return text.toString();
     }
 
+    /** Waits until the sender's event loop has read its sockets once more. */
+    static void awaitPoll(final EventLoopGroup sender) throws InterruptedException {
+        final CountDownLatch polled = new CountDownLatch(1);
+        sender.execute(() -> NextPoll.runAfter(sender.next(), polled::countDown));
+        polled.await();
+    }
+
     /** Returns whether the sender has reset the connection, after {@link #receiveRest}. */
     boolean wasReset() {
         return reset;
@@ -79,6 +84,17 @@
         accepted.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** Ends what this server sends; the connection stays open for what the sender has not sent yet. */
+    void endOutput() throws IOException {
+        accepted.shutdownOutput();
+    }
+
+    /** Resets the connection. */
+    void reset() throws IOException {
+        accepted.setSoLinger(true, 0);
+        accepted.close();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -9,6 +9,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
@@ -65,13 +66,38 @@
     }
 
     @Test
-    void responseWithoutLengthIsCompleteWhenConnectionIsClosed() {
+    void responseWithoutLengthIsCompleteAtTheEndOfTheStream() {
         receive("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhello");
-        channel.close();
+        endOfStream();
         assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
         assertTrue(listener.last);
     }
 
+    // Guards against MIXED: the channel was closed by a failed write, not by the target's end of the stream.
+    @Test
+    void responseWithoutLengthIsBrokenWhenOnlyTheChannelIsClosed() {
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhello");
+        channel.close();
+        assertEquals(List.of(AttemptEnd.BROKEN), listener.ends);
+        assertFalse(listener.last);
+    }
+
+    @Test
+    void connectionWhoseTargetHasEndedIsNotReused() {
+        receive("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhello");
+        endOfStream();
+        assertFalse(connection.reusable());
+        assertFalse(channel.isActive());
+    }
+
+    @Test
+    void truncatedResponseIsBrokenAtTheEndOfTheStream() {
+        receive(OWN.substring(0, OWN.length() - 1));
+        endOfStream();
+        assertEquals(List.of(AttemptEnd.BROKEN), listener.ends);
+        assertFalse(listener.last);
+    }
+
     @Test
     void responseWithoutLengthIsBrokenWhenConnectionIsReset() {
         receive("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nhello");
@@ -86,7 +112,7 @@
     @ValueSource(strings = {"", "data: 1", "data: 1\n", "data: 1\n\ndata: 2\n", "data: 1\r\n\r\ndata: 2\r\n"})
     void streamWithoutLengthThatEndsInsideAnEventIsBroken(final String events) {
         receive(STREAM_HEAD + "\r\n" + events);
-        channel.close();
+        endOfStream();
         assertEquals(List.of(AttemptEnd.BROKEN), listener.ends);
         assertFalse(listener.last);
     }
@@ -95,7 +121,7 @@
     @ValueSource(strings = {"data: 1\n\n", "data: 1\r\n\r\n", "data: 1\r\r", ": note\n\ndata: 1\n\n"})
     void streamWithoutLengthThatEndsAfterAnEventIsComplete(final String events) {
         receive(STREAM_HEAD + "\r\n" + events);
-        channel.close();
+        endOfStream();
         assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
         assertEquals(events, listener.body.toString());
     }
@@ -218,6 +244,11 @@
         return Unpooled.copiedBuffer("{}", StandardCharsets.UTF_8);
     }
 
+    /** Plays the end of the target's bytes; a socket channel that allows half-closure fires the same event. */
+    private void endOfStream() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+    }
+
     private void receive(final String bytes) {
         channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
     }
