Never send a request again on a connection that has carried it

Cause: the request id tells responses of different requests apart, not those of two sendings of one request. The retry after a 421 goes to the same target, and the pool handed out the connection used last, so the copy was taken for the second response. Ruled out: a first sending that still waited, and two sendings by the caller.

Change: a connection remembers the requests that it has carried, as hashes, at most 256, and the pool passes over it for these; at the limit of connections it is replaced. A response without a request id ends its connection, as a copy of it could answer any request.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/Dialect.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/Dialect.java
@@ -62,6 +62,14 @@
      */
     boolean belongsTo(HttpResponse head, RequestId id);
 
+    /**
+     * Returns whether a response names its request.
+     *
+     * @param head the head of the response
+     * @return false if a copy of the response could not be told from a response to another request
+     */
+    boolean hasRequestId(HttpResponse head);
+
     /**
      * Builds the headers of the response to the caller.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -80,6 +80,15 @@
         this.listener = Objects.requireNonNull(listener);
     }
 
+    /**
+     * Returns the id of the request.
+     *
+     * @return the id, the same for all attempts of the request
+     */
+    RequestId id() {
+        return id;
+    }
+
     /**
      * Sets the connection.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -16,14 +16,16 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.balsambank.core.id.RequestId;
 import org.balsambank.gateway.loop.Channels;
 
 /**
  * One connection to a target. Carries one request at a time.
  *
- * <p>Invariants: unsolicited bytes close the connection; a body without a length is complete only if the end of the
- * target's stream was read. A closed channel does not show that: a reset closes it too, without an exception if a write
- * was the first to notice it. The channel must therefore allow half-closure. Confined to the decision loop.
+ * <p>Invariants: unsolicited bytes close the connection; it carries no request twice; a body without a length is
+ * complete only if the end of the target's stream was read. A closed channel does not show that: a reset closes it too,
+ * without an exception if a write was the first to notice it. The channel must therefore allow half-closure. Confined
+ * to the decision loop.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
@@ -31,6 +33,7 @@
 
     private final TargetConnectionPool pool;
     private final StrictResponseDecoder decoder;
+    private final CarriedRequests carried = new CarriedRequests();
     private Channel channel;
     private TargetAttempt currentAttempt;
     private boolean reusable = true;
@@ -61,6 +64,7 @@
         channel = open;
         currentAttempt = attempt;
         responseStarted = false;
+        carried.add(attempt.id());
         decoder.noBody(attempt.hasNoBody());
         attempt.write(channel);
     }
@@ -75,6 +79,16 @@
         return channel != null && channel.isActive() && reusable && nowNanos - idleSinceNanos < keepAlive.toNanos();
     }
 
+    /**
+     * Returns whether the connection may have carried a request before.
+     *
+     * @param id the id of the request
+     * @return true if a late copy of its response could still come on this connection
+     */
+    boolean mayHaveCarried(final RequestId id) {
+        return carried.mayContain(id);
+    }
+
     /**
      * Closes the connection while it is idle.
      */
@@ -146,9 +160,8 @@
         reusable &= HttpUtil.isKeepAlive(head);
         final Optional<Duration> announced = pool.dialect().keepAliveTimeout(head);
         keepAlive = announced.map(time -> time.minus(KEEP_ALIVE_MARGIN)).orElse(DEFAULT_KEEP_ALIVE);
-        if (!currentAttempt.head(head)) {
-            reusable = false;
-        }
+        final boolean own = currentAttempt.head(head);
+        reusable &= own && pool.dialect().hasRequestId(head);
     }
 
     private void handleContent(final HttpContent content) {
@@ -182,10 +195,10 @@
     /**
      * Returns whether the connection may return to the pool.
      *
-     * @return false after a protocol violation, a request to close the connection, or its end
+     * @return false after a protocol violation, a request to close the connection, its end, or too many requests
      */
     boolean reusable() {
-        return reusable && channel.isActive() && !decoder.inputEnded();
+        return reusable && channel.isActive() && !decoder.inputEnded() && !carried.full();
     }
 
     @Override
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -1,9 +1,12 @@
 package org.balsambank.gateway.target;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 
 import io.netty.bootstrap.Bootstrap;
@@ -16,14 +19,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import org.balsambank.core.id.RequestId;
 import org.balsambank.gateway.Dialect;
 import org.balsambank.gateway.loop.NextPoll;
 
 /**
  * The connections to one incarnation of one target.
  *
- * <p>Invariant: a connection carries one request at a time; the most recently used idle connection is reused first.
- * Confined to the decision loop.
+ * <p>Invariant: a connection carries one request at a time, and none twice; the most recently used idle connection is
+ * reused first. Confined to the decision loop.
  */
 final class TargetConnectionPool {
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -67,21 +71,52 @@
      * @param maxConnections the maximum number of connections, 0 for no limit
      */
     void start(final TargetAttempt attempt, final int maxConnections) {
+        final List<TargetConnection> unsuitable = new ArrayList<>();
+        final Optional<TargetConnection> suitable = takeIdle(attempt.id(), unsuitable);
+        unsuitable.forEach(idle::addLast);
+        if (suitable.isPresent()) {
+            attempt.setConnection(suitable.get());
+            suitable.get().send(attempt, suitable.get().channel());
+            return;
+        }
+        if (maxConnections > 0 && all.size() + connecting >= maxConnections) {
+            if (unsuitable.isEmpty()) {
+                group.execute(attempt::notSent);
+                return;
+            }
+            discard(unsuitable.get(0));
+        }
+        connect(attempt);
+    }
+
+    /**
+     * Takes the idle connection that was used last, except those that may have carried the request before, and closes
+     * those that are no longer usable.
+     *
+     * @param id the id of the request
+     * @param unsuitable gets the connections that may have carried the request, which are taken too, the
+     *     one used last at the end
+     * @return the connection, empty if there is none
+     */
+    private Optional<TargetConnection> takeIdle(final RequestId id, final List<TargetConnection> unsuitable) {
         final long now = System.nanoTime();
         while (!idle.isEmpty()) {
             final TargetConnection candidate = idle.pollLast();
-            if (candidate.usable(now)) {
-                attempt.setConnection(candidate);
-                candidate.send(attempt, candidate.channel());
-                return;
+            if (!candidate.usable(now)) {
+                candidate.close();
+            } else if (candidate.mayHaveCarried(id)) {
+                unsuitable.add(0, candidate);
+            } else {
+                return Optional.of(candidate);
             }
-            candidate.close();
         }
-        if (maxConnections > 0 && all.size() + connecting >= maxConnections) {
-            group.execute(attempt::notSent);
-            return;
-        }
-        connect(attempt);
+        return Optional.empty();
+    }
+
+    /** Closes an idle connection to make room for another. */
+    private void discard(final TargetConnection connection) {
+        connection.close();
+        remove(connection);
     }
 
     private void connect(final TargetAttempt attempt) {
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
@@ -15,10 +15,15 @@
 import org.balsambank.core.serving.request.ResponseHead;
 import org.balsambank.gateway.Dialect;
 
-/** A minimal dialect for response tests: one header carries the request id, every response counts as sealed. */
+/**
+ * A minimal dialect for response tests: one header carries the request id, every response counts as sealed. A response
+ * without an id belongs to the request that waits if it is no success.
+ */
 final class TestDialect implements Dialect {
     static final String ID = "Id";
 
+    private static final int FIRST_ERROR = 400;
+
     @Override
     public Optional<ErrorKind> validate(final HttpRequest head) {
         throw new UnsupportedOperationException("not used in this test");
@@ -41,7 +46,15 @@
 
     @Override
     public boolean belongsTo(final HttpResponse head, final RequestId id) {
-        return id.value().equals(head.headers().get(ID));
+        final String responseId = head.headers().get(ID);
+        return responseId == null
+                ? head.status().code() >= FIRST_ERROR
+                : id.value().equals(responseId);
+    }
+
+    @Override
+    public boolean hasRequestId(final HttpResponse head) {
+        return head.headers().contains(ID);
     }
 
     @Override
