Discard a target's response that names another request, on the product's own interface

Callers would see: the response to the request before on a pooled connection, if its engine sends a second copy late.

Cause: TargetCall matched responses by their order on the connection only. Change: a response with the id of another request counts as lost and its connection is closed, whatever its status; targets that do not repeat the id are unaffected. The stand-in engine repeats it.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -134,6 +134,10 @@
             return;
         }
         received.pause();
+        if (!TargetHeaders.mayBelongTo(received.headers(), relayRequest)) {
+            fail(Reason.LOST, "the response names another request");
+            return;
+        }
         response = received;
         awaitingBytes = false;
         final Optional<Reason> refusal = refusalReason(received.statusCode());
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetHeaders.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetHeaders.java
@@ -72,6 +72,18 @@
         }
     }
 
+    /**
+     * Returns whether a response may belong to a request. Not every target repeats the id of the request.
+     *
+     * @param headers the headers of the response
+     * @param request the request
+     * @return false if the response names another request
+     */
+    static boolean mayBelongTo(final MultiMap headers, final RelayRequest request) {
+        final String id = headers.get(REQUEST_ID);
+        return id == null || id.equals(request.getRequestId());
+    }
+
     /**
      * Converts the head of a response.
      *
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -118,6 +118,17 @@
         }
     }
 
+    // Guards against a caller that gets a late second copy of the response to the request before on its connection.
+    @Test
+    void responseThatNamesAnotherRequestIsLost() {
+        for (final String status : List.of("200 OK", "503 Service Unavailable")) {
+            final String response = "HTTP/1.1 " + status + "\r\nX-Request-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+            assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(response), false)), status);
+        }
+        call((socket, request) -> socket.write(OK + "X-Request-Id: r1\r\nContent-Length: 3\r\n\r\nnew"), false)
+                .assertComplete();
+    }
+
     @Test
     void silenceIsLost() {
         client = client(loop.timer(), SILENCE);
--- a/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineServer.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineServer.java
@@ -16,6 +16,7 @@
  * <p>Confined to its event loop. The weight store is shared with the other engines of the process.
  */
 public final class EngineServer extends HttpStandin {
+    private static final String REQUEST_ID = "X-Request-Id";
     private static final int BAD_REQUEST = 400;
     private static final int DEFAULT_MAX_TOKENS = 16;
 
@@ -93,6 +94,10 @@
 
     private void generate(final RoutingContext call, final boolean chat) {
         countIdempotencyKey(call);
+        final String id = headerOf(call, REQUEST_ID, "");
+        if (!id.isEmpty()) {
+            call.response().putHeader(REQUEST_ID, id);
+        }
         try {
             final JsonObject body = bodyOf(call);
             final GenerationRequest generation = generationOf(call, body, chat);
@@ -114,7 +119,7 @@
         final String prompt = chat ? chatPrompt(body) : body.getString("prompt", "");
         final int maxTokens = Math.max(1, body.getInteger("max_tokens", DEFAULT_MAX_TOKENS));
         return new GenerationRequest(
-                headerOf(call, "X-Request-Id", ""),
+                headerOf(call, REQUEST_ID, ""),
                 body.getString("model", ""),
                 prompt,
                 maxTokens,
