Save the evidence against what crashes targets in the key-value service

Cause: the evidence was in the memory of the VMs only, and a VM that starts learns it from others. Evidence: the new tests kill all VMs in virtual time; with one VM alive the same request is refused. Ruled out: VMs that serve before they have learned it (six seconds pass in the tests).

Change: SavedEvidence, one key per request or part, written at once by the VM that observed the deciding crash, else by the first VM by rendezvous hashing, which also deletes what is void. Used for requests and parts on the platform and for requests on the product's own interface.

Tests, on the code before: ServingFleetTest, two: no final response, the request was sent; DeadlyPromptPartTest: expected <4> crashes but was <16>; SharedDecisionsTest (own interface, with the loading taken out): expected <POISON> but was <CLEAN>. All pass now.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -1,6 +1,7 @@
 package org.balsambank.core.serving;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -36,6 +37,7 @@
 import org.balsambank.core.serving.plan.CallerBounds;
 import org.balsambank.core.serving.plan.ServingPlan;
 import org.balsambank.core.serving.poison.PromptPartTracker;
+import org.balsambank.core.serving.poison.SavedPromptParts;
 import org.balsambank.core.serving.replica.EntryListener;
 import org.balsambank.core.serving.replica.EntryReplica;
 import org.balsambank.core.serving.replica.ReplicaReader;
@@ -49,7 +51,10 @@
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetPerformance;
 import org.balsambank.core.serving.target.TargetTable;
+import org.balsambank.core.supervise.Component;
 import org.balsambank.core.supervise.Supervisor;
+import org.balsambank.core.target.SavedEvidence;
+import org.balsambank.core.target.SavedPoisonRequests;
 import org.balsambank.core.time.ClockJumpDetector;
 import org.balsambank.core.time.TimerService;
 import org.balsambank.protocol.generated.ownership.MemberRecord;
@@ -82,6 +87,7 @@
     private final Placement placement;
     private final ReplicaReader reader;
     private final DigestExchange digests;
+    private final List<SavedEvidence> savedEvidence;
     private final RequestDependencies dependencies;
     private final Supervisor supervisor;
 
@@ -160,7 +166,12 @@
                 random,
                 log,
                 new RequestMetrics(registry));
-        supervisor = new Supervisor("serving", List.of(reader, placement, digests), timer, registry);
+        savedEvidence = List.of(
+                new SavedPoisonRequests(crashTracker.requests(), store, members::isFirstFor, timer, wallMillis, log),
+                new SavedPromptParts(crashTracker.parts(), store, members::isFirstFor, timer, log));
+        final List<Component> components = new ArrayList<>(List.of(reader, placement, digests));
+        components.addAll(savedEvidence);
+        supervisor = new Supervisor("serving", components, timer, registry);
     }
 
     private DigestExchange createDigestExchange(
@@ -271,6 +282,12 @@
             claims.applyChange(change);
             return;
         }
+        final Optional<SavedEvidence> evidence =
+                savedEvidence.stream().filter(each -> each.isKey(change.key())).findFirst();
+        if (evidence.isPresent()) {
+            evidence.get().changed(change);
+            return;
+        }
         parser.parse(change).ifPresent(update -> apply(update, change));
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -46,6 +46,15 @@
         return parts;
     }
 
+    /**
+     * Returns the crashes of whole requests.
+     *
+     * @return the registry
+     */
+    public PoisonRequestRegistry requests() {
+        return register;
+    }
+
     /**
      * Records that a target was lost while running a request.
      *
@@ -54,7 +63,7 @@
      */
     public void recordCrash(final Fingerprint fingerprint, final TargetAnnouncement target) {
         final CrashId crash = crashOf(target);
-        if (register.record(fingerprint, crash)) {
+        if (register.recordObserved(fingerprint, crash)) {
             unreported.add(report(fingerprint, crash));
         }
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/PromptPartTracker.java
@@ -45,6 +45,7 @@
     private final Map<PromptPartId, TrackedPart> tracked = new LinkedHashMap<>();
     private final Map<CrashId, Set<PromptPartId>> candidatesByCrash = new HashMap<>();
     private final Set<PromptPartId> changed = new HashSet<>();
+    private final Set<PromptPartId> observed = new HashSet<>();
     private final PublishSubject<PromptPartTracker> verdicts = PublishSubject.create();
     private boolean verdictsPending;
 
@@ -98,6 +99,7 @@
             final PartEvidence after = before.withCrash(crash, atSend.of(part), begun);
             if (update(part, before, after)) {
                 changed.add(part);
+                observed.add(part);
                 log.line("part_in_crash")
                         .with("part", part.value())
                         .with("target", crash.target().value())
@@ -233,6 +235,35 @@
         return drained;
     }
 
+    /**
+     * Returns the parts whose evidence has grown by requests of this VM since the last call, and which decide which
+     * requests are refused.
+     *
+     * @return the parts that this VM saves
+     */
+    Set<PromptPartId> drainObserved() {
+        final Set<PromptPartId> drained = new HashSet<>(observed);
+        drained.retainAll(decisiveParts());
+        observed.clear();
+        return drained;
+    }
+
+    /**
+     * Returns the parts without which other requests would be refused: the suspects, and the candidates that share a
+     * crash with one of them.
+     *
+     * @return the parts
+     */
+    Set<PromptPartId> decisiveParts() {
+        final Set<PromptPartId> decisive = new HashSet<>();
+        for (final Set<PromptPartId> candidates : candidatesByCrash.values()) {
+            if (candidates.stream().anyMatch(part -> evidenceOf(part).suspect())) {
+                decisive.addAll(candidates);
+            }
+        }
+        return decisive;
+    }
+
     /**
      * Returns the number of parts that are suspected to crash targets.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/target/CrashDetector.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/CrashDetector.java
@@ -99,7 +99,7 @@
         for (final BrokenRequest request : awaitingReport) {
             if (crashed.test(request)) {
                 final CrashId crash = new CrashId(target, request.boot);
-                context.poison().record(request.fingerprint, crash);
+                context.poison().recordObserved(request.fingerprint, crash);
                 context.meters().lostWithTarget();
                 crashes.computeIfAbsent(crash, key -> new HashSet<>()).add(request.fingerprint);
             }
--- a/balsambank-core/src/main/java/org/balsambank/core/target/CrashMessages.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/CrashMessages.java
@@ -10,6 +10,7 @@
 import org.balsambank.protocol.generated.target.Crash;
 import org.balsambank.protocol.generated.target.CrashNotice;
 import org.balsambank.protocol.generated.target.CrashTrialRequest;
+import org.balsambank.protocol.generated.target.SavedRequest;
 
 /**
  * Converts crashes to and from protocol messages.
@@ -58,6 +59,32 @@
         return request.getCrashesList().stream().map(CrashMessages::crash).collect(Collectors.toSet());
     }
 
+    /**
+     * Creates the value under which a request that must not run again is saved.
+     *
+     * @param fingerprint the request
+     * @param crashes its crashes
+     * @param lastCrashMillis when the last of them was recorded, in milliseconds since 1970
+     * @return the message
+     */
+    static SavedRequest saved(final Fingerprint fingerprint, final Set<CrashId> crashes, final long lastCrashMillis) {
+        return SavedRequest.newBuilder()
+                .setFingerprint(fingerprint.value())
+                .addAllCrashes(crashes.stream().map(CrashMessages::message).toList())
+                .setLastCrashUnixMillis(lastCrashMillis)
+                .build();
+    }
+
+    /**
+     * Returns the crashes of a saved request.
+     *
+     * @param request the message
+     * @return the crashes
+     */
+    static Set<CrashId> crashes(final SavedRequest request) {
+        return request.getCrashesList().stream().map(CrashMessages::crash).collect(Collectors.toSet());
+    }
+
     /**
      * Applies a notice: records the crash for each fingerprint, or retracts it if the notice has none.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/target/PeerCrashTrials.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/PeerCrashTrials.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
@@ -16,8 +17,10 @@
 import org.balsambank.core.id.Fingerprint;
 import org.balsambank.core.id.PartitionId;
 import org.balsambank.core.id.VmId;
+import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.partition.Ownership;
 import org.balsambank.core.partition.Ownership.SubjectKind;
+import org.balsambank.core.port.KeyValueStore;
 import org.balsambank.core.port.PeerTransport;
 import org.balsambank.core.port.VmEntry;
 import org.balsambank.core.port.VmList;
@@ -33,8 +36,8 @@
  * Shares crashes between VMs and delegates the trials of a fingerprint to the owner of its partition.
  *
  * <p>Invariants: a suspect request has at most one trial in the fleet while the owner of its partition does not change;
- * a starting VM fetches the known crashes from another VM. Messages are sent only on a crash, for a suspect request,
- * and at startup. Confined to the decision loop.
+ * a starting VM fetches the known crashes from another VM, and the requests that must not run again from the key-value
+ * service. Messages are sent only on a crash, for a suspect request, and at startup. Confined to the decision loop.
  */
 public final class PeerCrashTrials implements CrashTrials, Component {
     private static final String SUBJECT_PREFIX = "crash ";
@@ -49,6 +52,7 @@
     private final TimerService timers;
     private final PoisonRequestRegistry registry;
     private final LocalCrashTrials local;
+    private final SavedPoisonRequests saved;
 
     /**
      * Creates an instance for one VM.
@@ -59,6 +63,8 @@
      * @param vms lists the VMs to notify
      * @param timers the timer service
      * @param registry counts the crashes per fingerprint
+     * @param store the key-value service, in which requests that must not run again outlast all VMs
+     * @param wallMillis the wall clock in milliseconds
      */
     public PeerCrashTrials(
             final VmId self,
@@ -66,7 +72,9 @@
             final PeerTransport peers,
             final VmList vms,
             final TimerService timers,
-            final PoisonRequestRegistry registry) {
+            final PoisonRequestRegistry registry,
+            final KeyValueStore store,
+            final LongSupplier wallMillis) {
         this.self = Objects.requireNonNull(self);
         this.ownership = Objects.requireNonNull(ownership);
         this.peers = Objects.requireNonNull(peers);
@@ -74,6 +82,7 @@
         this.timers = Objects.requireNonNull(timers);
         this.registry = Objects.requireNonNull(registry);
         this.local = new LocalCrashTrials(registry);
+        this.saved = new SavedPoisonRequests(registry, store, this::owns, timers, wallMillis, DecisionLog.NONE);
     }
 
     /** Registers the handlers for calls from the other VMs and from this VM. */
@@ -93,7 +102,9 @@
 
     @Override
     public Completable run() {
-        return others().flatMapCompletable(this::fetchCrashes).onErrorComplete().andThen(Completable.never());
+        final Completable fetched =
+                others().flatMapCompletable(this::fetchCrashes).onErrorComplete();
+        return Completable.mergeArray(fetched, saved.loadAndRun());
     }
 
     @Override
@@ -145,7 +156,7 @@
 
     private Flowable<CrashTrialGrant> allow(final CrashTrialRequest request) {
         return Flowable.defer(() -> {
-            if (ownership.heldEpoch(partition(request.getFingerprint())).isEmpty()) {
+            if (!owns(request.getFingerprint())) {
                 return Flowable.error(noOwner());
             }
             return local.begin(new Fingerprint(request.getFingerprint()), CrashMessages.crashes(request))
@@ -155,6 +166,10 @@
         });
     }
 
+    private boolean owns(final String fingerprint) {
+        return ownership.heldEpoch(partition(fingerprint)).isPresent();
+    }
+
     private PartitionId partition(final String fingerprint) {
         return ownership.partitionOf(SubjectKind.TARGET, SUBJECT_PREFIX + fingerprint);
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -23,12 +22,15 @@
  * loop.
  */
 public final class PoisonRequestRegistry {
+    /** How long a verdict holds after the last crash. */
+    static final Duration TTL = Duration.ofHours(24);
+
     private static final int POISON_THRESHOLD = 2;
     private static final int MAX_FINGERPRINTS = 10_000;
-    private static final long TTL_NANOS = Duration.ofHours(24).toNanos();
 
     private final TimerService timers;
     private final Map<Fingerprint, CrashRecord> records = new LinkedHashMap<>();
+    private final Set<Fingerprint> observed = new HashSet<>();
 
     /**
      * Creates an empty registry.
@@ -62,15 +64,74 @@
      * @return true if the crash was not yet recorded for the fingerprint
      */
     public boolean record(final Fingerprint fingerprint, final CrashId crash) {
+        return record(fingerprint, crash, Duration.ZERO);
+    }
+
+    /**
+     * Records a crash that a request of this VM was lost in.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param crash the crash
+     * @return true if the crash was not yet recorded for the fingerprint
+     */
+    public boolean recordObserved(final Fingerprint fingerprint, final CrashId crash) {
+        final boolean added = record(fingerprint, crash);
+        if (verdict(fingerprint) == Verdict.POISON) {
+            observed.add(fingerprint);
+        }
+        return added;
+    }
+
+    /**
+     * Records a crash that happened earlier.
+     *
+     * @param fingerprint the fingerprint of a request that ran during the crash
+     * @param crash the crash during which the request ran
+     * @param age the time since the crash
+     * @return true if the crash was not yet recorded for the fingerprint
+     */
+    boolean record(final Fingerprint fingerprint, final CrashId crash, final Duration age) {
+        final long crashNanos = timers.nanoTime() - age.toNanos();
         final CrashRecord known = records.remove(fingerprint);
-        final CrashRecord updated = known == null ? new CrashRecord() : known;
+        final CrashRecord updated = known == null ? new CrashRecord(crashNanos) : known;
         final boolean added = updated.crashes.add(crash);
-        updated.lastCrashNanos = timers.nanoTime();
+        updated.lastCrashNanos = Math.max(updated.lastCrashNanos, crashNanos);
         records.put(fingerprint, updated);
         expire();
         return added;
     }
 
+    /**
+     * Drops all crashes during a request.
+     *
+     * @param fingerprint the fingerprint of the request
+     */
+    void forget(final Fingerprint fingerprint) {
+        records.remove(fingerprint);
+        observed.remove(fingerprint);
+    }
+
+    /**
+     * Returns the requests of this VM that became poison, or crashed another target, since the last call.
+     *
+     * @return their fingerprints
+     */
+    Set<Fingerprint> drainObserved() {
+        final Set<Fingerprint> drained = Set.copyOf(observed);
+        observed.clear();
+        return drained;
+    }
+
+    /**
+     * Returns the time since the last crash during a request.
+     *
+     * @param fingerprint the fingerprint of a request with a recorded crash
+     * @return the time
+     */
+    Duration sinceLastCrash(final Fingerprint fingerprint) {
+        return Duration.ofNanos(timers.nanoTime() - records.get(fingerprint).lastCrashNanos);
+    }
+
     /**
      * Retracts a crash because the target was only unreachable.
      *
@@ -94,7 +155,7 @@
      */
     public Set<CrashId> crashes(final Fingerprint fingerprint) {
         final CrashRecord known = records.get(fingerprint);
-        return known == null ? Set.of() : Set.copyOf(known.crashes);
+        return known == null || expired(known) ? Set.of() : Set.copyOf(known.crashes);
     }
 
     /**
@@ -112,12 +173,12 @@
     /**
      * Returns the requests that must not run again.
      *
-     * @return the fingerprints with the verdict {@link Verdict#POISON} and their crashes
+     * @return the fingerprints with the verdict {@link Verdict#POISON} and their crashes, the last recorded ones last
      */
     public Map<Fingerprint, Set<CrashId>> poison() {
-        final Map<Fingerprint, Set<CrashId>> poison = new HashMap<>();
+        final Map<Fingerprint, Set<CrashId>> poison = new LinkedHashMap<>();
         records.forEach((fingerprint, known) -> {
-            if (known.crashes.size() >= POISON_THRESHOLD) {
+            if (known.crashes.size() >= POISON_THRESHOLD && !expired(known)) {
                 poison.put(fingerprint, Set.copyOf(known.crashes));
             }
         });
@@ -134,17 +195,20 @@
     }
 
     private void expire() {
-        final long now = timers.nanoTime();
         final Iterator<CrashRecord> eldest = records.values().iterator();
         while (eldest.hasNext()) {
             final CrashRecord next = eldest.next();
-            if (records.size() <= MAX_FINGERPRINTS && now - next.lastCrashNanos < TTL_NANOS) {
+            if (records.size() <= MAX_FINGERPRINTS && !expired(next)) {
                 return;
             }
             eldest.remove();
         }
     }
 
+    private boolean expired(final CrashRecord known) {
+        return timers.nanoTime() - known.lastCrashNanos >= TTL.toNanos();
+    }
+
     /** How a request is treated, depending on the targets that it has crashed. Immutable and thread-safe. */
     public enum Verdict {
         /** The request has crashed no target. */
@@ -161,5 +225,9 @@
     private static final class CrashRecord {
         private final Set<CrashId> crashes = new HashSet<>();
         private long lastCrashNanos;
+
+        CrashRecord(final long lastCrashNanos) {
+            this.lastCrashNanos = lastCrashNanos;
+        }
     }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/DeadlyPromptPartTest.java
@@ -100,6 +100,47 @@
         assertEquals(ErrorKind.POISON_PROMPT_PART, caller.rejection());
     }
 
+    // Guards against BUDGET: a part that crashes targets is let through again after all VMs were killed at once.
+    @Test
+    void deadlyPartIsRefusedAfterAllVmsWereKilled() {
+        sendFor(8_000, 0.02, List.of(DEADLY));
+        final int before = targets.crashMillis.size();
+        for (int kill = 0; kill < 3; kill++) {
+            fleet.restartAll();
+            targets.run(2 * STABLE_MILLIS);
+            sendEverywhere(1_000);
+            assertTrue(refusedEverywhere());
+        }
+        assertEquals(before, targets.crashMillis.size());
+    }
+
+    // Guards against a sound part that was suspect once and is refused after all VMs were killed, though it was
+    // cleared.
+    @Test
+    void partThatWasClearedIsServedAfterAllVmsWereKilled() {
+        sendFor(8_000, 0.02, List.of(DEADLY));
+        targets.mend();
+        fleet.advance(TRIAL_INTERVAL_MILLIS);
+        sendEverywhere(2_000);
+        assertTrue(servedEverywhere());
+        fleet.restartAll();
+        targets.run(2 * STABLE_MILLIS);
+        sendEverywhere(1_000);
+        assertTrue(servedEverywhere());
+    }
+
+    // Guards against a verdict on a part that comes with a deadly one, as the evidence against the others was lost.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    void soundRequestsAreServedAfterAllVmsWereKilled(final int seed) {
+        random = new Random(seed);
+        sendFor(8_000, 0.02, List.of(DEADLY, OTHER_DEADLY));
+        fleet.restartAll();
+        targets.run(2 * STABLE_MILLIS);
+        sendFor(8_000, 0.02, List.of(DEADLY, OTHER_DEADLY));
+        assertEquals(0, refusedSound());
+    }
+
     // Guards against a verdict on parts that were in flight when many targets were lost at once, twice.
     @Test
     void unrelatedLossesOfTargetsConvictNoPart() {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -275,6 +275,43 @@
     // Guards against a request that has crashed targets and is run again by a VM that starts later.
     @Test
     void vmThatStartsLaterRefusesARequestThatCrashedTwoTargets() {
+        crashTwoTargets();
+        final VmId later = TestFleet.vm(VMS);
+        fleet.start(later);
+        fleet.advance(3_000);
+        final FakeCaller caller = fleet.sendRequest(later, PLAIN, Optional.empty(), PLAIN_UNITS);
+        assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
+    }
+
+    // Guards against BUDGET: a request that crashes targets is let through again after all VMs were killed at once.
+    @Test
+    void requestThatCrashedTwoTargetsIsRefusedAfterAllVmsWereKilled() {
+        crashTwoTargets();
+        for (int kill = 0; kill < 3; kill++) {
+            fleet.restartAll();
+            fleet.advance(6_000);
+            for (int vm = 0; vm < VMS; vm++) {
+                final FakeCaller caller = fleet.sendRequest(TestFleet.vm(vm), PLAIN, Optional.empty(), PLAIN_UNITS);
+                assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
+            }
+        }
+    }
+
+    // Guards against evidence that is lost if the store is away at the moment of the crash.
+    @Test
+    void requestThatCrashedTwoTargetsDuringAnOutageOfTheStoreIsRefusedAfterAllVmsWereKilled() {
+        fleet.store.setOutage(true);
+        crashTwoTargets();
+        fleet.advance(3_000);
+        fleet.store.setOutage(false);
+        fleet.advance(4_000);
+        fleet.restartAll();
+        fleet.advance(6_000);
+        final FakeCaller caller = fleet.sendRequest(TestFleet.vm(1), PLAIN, Optional.empty(), PLAIN_UNITS);
+        assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
+    }
+
+    private void crashTwoTargets() {
         final Set<TargetId> crashed = new HashSet<>();
         for (int i = 0; i < 2; i++) {
             fleet.sendRequest(TestFleet.vm(0), PLAIN, Optional.empty(), PLAIN_UNITS);
@@ -283,11 +320,6 @@
             fleet.advance(1_000);
         }
         assertEquals(2, crashed.size());
-        final VmId later = TestFleet.vm(VMS);
-        fleet.start(later);
-        fleet.advance(3_000);
-        final FakeCaller caller = fleet.sendRequest(later, PLAIN, Optional.empty(), PLAIN_UNITS);
-        assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
     }
 
     private Set<TargetId> usedTargets(final int vm) {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -117,6 +117,17 @@
         vms.remove(id).kill();
     }
 
+    /** Kills all VMs at the same moment, and starts them again. */
+    void restartAll() {
+        final List<VmId> all = List.copyOf(vms.keySet());
+        all.forEach(this::kill);
+        all.forEach(vm -> {
+            store.cutOff(vm, false);
+            network.cutOff(vm, false);
+            start(vm);
+        });
+    }
+
     void writePlan(final long version, final List<String> keys, final double tokensPerSecond) {
         final EngineSpec spec =
                 new EngineSpec(64, 100_000, ADAPTER_SLOTS, 1_000, 4, List.of(new ModelSpec(MODEL, 900, 1_000)));
--- a/balsambank-core/src/test/java/org/balsambank/core/target/SharedDecisionsTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/target/SharedDecisionsTest.java
@@ -15,6 +15,8 @@
 import org.balsambank.core.error.BalsambankException;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.fake.FakeDecisionLoop;
+import org.balsambank.core.fake.FakeKeyValueService;
+import org.balsambank.core.fake.FakeKeyValueStore;
 import org.balsambank.core.fake.FakePeerNetwork;
 import org.balsambank.core.fake.FakePeerTransport;
 import org.balsambank.core.fake.FakeVmList;
@@ -40,10 +42,12 @@
     private static final int IN_FLIGHT = 8;
     private static final Fingerprint FINGERPRINT = new Fingerprint("print");
     private static final CrashId CRASH = new CrashId(new TargetId("target"), new BootId("boot"));
+    private static final CrashId OTHER_CRASH = new CrashId(new TargetId("target"), new BootId("boot 2"));
 
     private final TestScheduler clock = new TestScheduler();
     private final FakePeerNetwork network = new FakePeerNetwork(clock, 3);
     private final FakeVmList list = new FakeVmList(clock);
+    private final FakeKeyValueService store = new FakeKeyValueService(clock, 4);
     private final InvariantMonitor invariants = new InvariantMonitor(new SimpleMeterRegistry());
     private final Map<PartitionId, VmId> owners = new HashMap<>();
     private final Map<PartitionId, Epoch> epochs = new HashMap<>();
@@ -102,6 +106,21 @@
         assertEquals(Verdict.SUSPECT, later.poison.verdict(FINGERPRINT));
     }
 
+    // Guards against BUDGET: a request that crashed targets runs again after all VMs were killed at once.
+    @Test
+    void requestThatCrashedTwoTargetsStaysPoisonAfterAllVmsWereKilled() {
+        for (final CrashId crash : List.of(CRASH, OTHER_CRASH)) {
+            vms.get(1).poison.recordObserved(FINGERPRINT, crash);
+            vms.get(1).trials.announce(crash, Set.of(FINGERPRINT));
+            advance(Duration.ofSeconds(1));
+        }
+        vms.forEach(vm -> vm.loop.kill());
+        advance(Duration.ofSeconds(1));
+        final Vm first = new Vm(0);
+        advance(Duration.ofSeconds(1));
+        assertEquals(Verdict.POISON, first.poison.verdict(FINGERPRINT));
+    }
+
     @Test
     void retractedCrashIsRemovedOnAllVms() {
         vms.get(0).trials.announce(CRASH, Set.of(FINGERPRINT));
@@ -173,7 +192,15 @@
             lender.run().subscribe();
             slots = new PeerLoadSlots(ownership, peers, loop.timer());
             list.put(new VmEntry(vmId(number), new FailureDomain("domain"), "127.0.0.1", 1, false));
-            trials = new PeerCrashTrials(vmId(number), ownership, peers, list.on(loop), loop.timer(), poison);
+            trials = new PeerCrashTrials(
+                    vmId(number),
+                    ownership,
+                    peers,
+                    list.on(loop),
+                    loop.timer(),
+                    poison,
+                    new FakeKeyValueStore(store, vmId(number), loop),
+                    () -> clock.now(TimeUnit.MILLISECONDS));
             trials.register();
             trials.run().subscribe();
         }
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/TargetComponents.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/TargetComponents.java
@@ -51,8 +51,15 @@
             final InvariantMonitor invariants,
             final MeterRegistry registry) {
         final PoisonRequestRegistry poison = new PoisonRequestRegistry(timer);
-        final PeerCrashTrials trials =
-                new PeerCrashTrials(self.id(), ownership, clients.peers(), clients.vmDirectory(), timer, poison);
+        final PeerCrashTrials trials = new PeerCrashTrials(
+                self.id(),
+                ownership,
+                clients.peers(),
+                clients.vmDirectory(),
+                timer,
+                poison,
+                clients.store(),
+                System::currentTimeMillis);
         trials.register();
         final LoadSlotLender lender = new LoadSlotLender(ownership, new LocalLoadSlots(timer, invariants));
         lender.register(clients.peers());
