Close a connection only after its response is written

Cause: a response counted as written when its last bytes were in the channel's buffer, and the channel was closed 400 ms later. Evidence: GracefulCloseTest. Ruled out: a target that broke off (the log has the whole response before the close), and an exit before the system had sent everything (responses were cut while the VM ran on).

Change: GracefulClose starts its delay when everything is written, and resets a peer that reads nothing for the idle time-out. A stop waits for responses that are not written to the end, within the grace time; the count of running requests, which stood beside the connections, is taken from them.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -126,7 +126,7 @@
                     stopping = true;
                     log.line("stopping")
                             .with("vm", settings.vm().value())
-                            .with("running", callers.requestsInProgress())
+                            .with("running", callers.unfinishedConnections())
                             .write();
                     callers.stop();
                     final long sinceNanos = timer.nanoTime();
@@ -141,13 +141,13 @@
                 .andThen(timer.after(LAST_RESPONSES_DELAY))
                 .doOnComplete(() -> log.line("stopped")
                         .with("vm", settings.vm().value())
-                        .with("cut", callers.requestsInProgress())
+                        .with("cut", callers.unfinishedConnections())
                         .write())
                 .subscribeOn(timer.scheduler());
     }
 
     private boolean drained(final Duration since) {
-        return callers.requestsInProgress() == 0
+        return callers.unfinishedConnections() == 0
                 || since.compareTo(settings.grace().minus(STOP_MARGIN)) >= 0;
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.balsambank.gateway.caller;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
@@ -8,10 +9,8 @@
 
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -39,7 +38,6 @@
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_QUEUED_PARTS = 64;
     private static final int MAX_BODY_COMPONENTS = 1_024;
-    private static final long LINGER_MILLIS = 400;
 
     private final CallerContext shared;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
@@ -53,6 +51,7 @@
     private Future<?> timeout;
     private boolean readingHead;
     private boolean overflowed;
+    private GracefulClose closing;
 
     /**
      * Creates the handler of a connection that is not open yet.
@@ -180,7 +179,6 @@
     private void startExchange() {
         stopTimeout();
         state = State.RUNNING;
-        shared.requestStarted();
         exchange = new CallExchange(shared, this, context, head, body, arrivedNanos);
         exchange.start();
     }
@@ -194,7 +192,6 @@
         if (state != State.RUNNING) {
             return;
         }
-        shared.requestEnded();
         exchange = null;
         releaseBody();
         if (!keepOpen || shared.stopping()) {
@@ -247,24 +244,15 @@
         closeGracefully();
     }
 
-    /**
-     * Closes the output after the pending writes and keeps reading for {@link #LINGER_MILLIS}, because closing with
-     * unread input would reset the connection and could discard the response.
-     */
     private void closeGracefully() {
         state = State.CLOSING;
         stopTimeout();
         releaseBody();
         releaseQueued();
-        if (!context.channel().isActive()) {
-            return;
+        if (context.channel().isActive()) {
+            closing = new GracefulClose(context.channel(), Duration.ofMillis(bounds().idleTimeoutMillis()));
+            closing.start();
         }
-        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) done -> {
-            if (done.channel() instanceof SocketChannel socket && socket.isActive()) {
-                socket.shutdownOutput();
-            }
-        });
-        context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -272,7 +260,6 @@
      */
     void reset() {
         if (state == State.RUNNING) {
-            shared.requestEnded();
             exchange = null;
             releaseBody();
         }
@@ -280,6 +267,15 @@
         Channels.reset(context.channel());
     }
 
+    /**
+     * Returns whether the caller waits for something of this connection.
+     *
+     * @return true while a request runs, or a response is not written to the end
+     */
+    boolean unfinished() {
+        return state == State.RUNNING || state == State.CLOSING && closing != null && !closing.flushed();
+    }
+
     /**
      * Closes the connection if no request is in progress on it.
      */
@@ -308,7 +304,6 @@
         if (exchange != null) {
             final CallExchange unfinished = exchange;
             exchange = null;
-            shared.requestEnded();
             unfinished.callerGone();
         }
         state = State.CLOSING;
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
@@ -24,7 +24,6 @@
     private final DecisionLog log;
     private final Set<CallerConnection> connections = new HashSet<>();
     private long bufferedBytes;
-    private int requestsInProgress;
     private boolean stopping;
 
     /**
@@ -145,26 +144,12 @@
     }
 
     /**
-     * Counts a request that was read completely and starts to run.
-     */
-    void requestStarted() {
-        requestsInProgress++;
-    }
-
-    /**
-     * Counts the end of a running request.
-     */
-    void requestEnded() {
-        requestsInProgress--;
-    }
-
-    /**
-     * Returns the number of requests in progress.
+     * Returns the number of connections whose callers wait for something.
      *
-     * @return the number of requests that were read completely and have no complete response
+     * @return the number of connections on which a request runs or a response is not written to the end
      */
-    public int requestsInProgress() {
-        return requestsInProgress;
+    public long unfinishedConnections() {
+        return connections.stream().filter(CallerConnection::unfinished).count();
     }
 
     /** Makes every response from now on the last one of its connection. */
