Answer or refuse requests that are read while the VM stops

Cause: a stop waited only for requests that were read whole. One that became complete in the last 400 ms before the exit was passed on. Ruled out: connections accepted late (this one was open before), a slow target (350 ms of 8 s).

Change: a stop waits for what is being read. After callers have been sent elsewhere, a request is accepted only if it ends in any case before the exit, else refused at once as not run (StopWindow). When the grace time ends, requests not read whole are refused, those that may run get 502, responses in progress are reset. Requests read behind a running one are answered, not discarded.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -17,9 +17,11 @@
 import org.balsambank.core.partition.MemberLease;
 import org.balsambank.core.partition.OwnershipSettings;
 import org.balsambank.core.port.KeyValueChange;
+import org.balsambank.core.port.KeyValueStore;
 import org.balsambank.core.port.PeerTransport;
 import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
+import org.balsambank.core.serving.admission.StopWindow;
 import org.balsambank.core.serving.admission.TeamRateLimiter;
 import org.balsambank.core.serving.choice.EngineLatencyModels;
 import org.balsambank.core.serving.choice.TargetChooser;
@@ -75,6 +77,7 @@
     private final DecisionLog log;
     private final EntryReplica replica = new EntryReplica();
     private final ActivePlan activePlan;
+    private final StopWindow stopWindow;
     private final TargetTable targets;
     private final ResidencyTable residency = new ResidencyTable();
     private final InFlightRequests inFlight = new InFlightRequests();
@@ -121,6 +124,7 @@
         final SplittableRandom random = new SplittableRandom();
         final VmId self = settings.vm();
         activePlan = new ActivePlan(timer, log);
+        stopWindow = new StopWindow(timer);
         targets = new TargetTable(timer, log);
         members = new FleetMembers(self, timer, log);
         jumps = new ClockJumpDetector(timer, wallMillis);
@@ -161,19 +165,25 @@
                 rateLimiter,
                 new ServiceRetryBudgets(settings.retryShare(), settings.retryReserve(), members),
                 cold,
+                stopWindow,
                 crashTracker,
                 timer,
                 random,
                 log,
                 new RequestMetrics(registry));
-        savedEvidence = List.of(
-                new SavedPoisonRequests(crashTracker.requests(), store, members::isFirstFor, timer, wallMillis, log),
-                new SavedPromptParts(crashTracker.parts(), store, members::isFirstFor, timer, log));
+        savedEvidence = createSavedEvidence(store, crashTracker, wallMillis);
         final List<Component> components = new ArrayList<>(List.of(reader, placement, digests));
         components.addAll(savedEvidence);
         supervisor = new Supervisor("serving", components, timer, registry);
     }
 
+    private List<SavedEvidence> createSavedEvidence(
+            final KeyValueStore store, final TargetCrashTracker crashTracker, final LongSupplier wallMillis) {
+        return List.of(
+                new SavedPoisonRequests(crashTracker.requests(), store, members::isFirstFor, timer, wallMillis, log),
+                new SavedPromptParts(crashTracker.parts(), store, members::isFirstFor, timer, log));
+    }
+
     private DigestExchange createDigestExchange(
             final AggregationTree tree,
             final TeamRateLimiter rateLimiter,
@@ -262,6 +272,16 @@
         return members;
     }
 
+    /**
+     * Accepts from now on only requests that end before this VM exits; callers may come for a while longer.
+     *
+     * @param untilNoticed the time until callers have been sent elsewhere
+     * @param untilExit the time until this VM exits
+     */
+    public void beginStop(final Duration untilNoticed, final Duration untilExit) {
+        stopWindow.begin(untilNoticed, untilExit);
+    }
+
     /**
      * Stops controlling targets and revokes this VM's lease, so that other VMs can claim its targets.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
@@ -5,6 +5,7 @@
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.ActivePlan;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
+import org.balsambank.core.serving.admission.StopWindow;
 import org.balsambank.core.serving.admission.TeamRateLimiter;
 import org.balsambank.core.serving.choice.EngineLatencyModels;
 import org.balsambank.core.serving.choice.TargetChooser;
@@ -30,6 +31,7 @@
  * @param rateLimiter the rate limits of teams
  * @param retryBudgets the retry budgets of services
  * @param coldTargetLimiter the rate limits of cold targets
+ * @param stopWindow decides which requests are accepted while this VM stops
  * @param crashTracker the requests and parts of prompts whose targets crashed
  * @param timer the timer service
  * @param random the source of jitter and weighted choices
@@ -48,6 +50,7 @@
         TeamRateLimiter rateLimiter,
         ServiceRetryBudgets retryBudgets,
         ColdTargetLimiter coldTargetLimiter,
+        StopWindow stopWindow,
         TargetCrashTracker crashTracker,
         TimerService timer,
         RandomGenerator random,
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -110,6 +110,10 @@
                 ? Math.min(requested, resolved.route().timeoutMillis())
                 : requested;
         deadlineNanos = attributes.arrivedNanos() + Duration.ofMillis(limit).toNanos() - DEADLINE_MARGIN_NANOS;
+        if (!dependencies.stopWindow().accepts(deadlineNanos)) {
+            reject(ErrorKind.STOPPING, Optional.empty(), "this VM exits before the deadline");
+            return;
+        }
         if (!mayRun() || !admit()) {
             return;
         }
@@ -389,16 +393,25 @@
     }
 
     private void deadlineExpired() {
+        giveUp("deadline_in_answer", ErrorKind.DEADLINE_DURING_RUN, ErrorKind.DEADLINE_BEFORE_RUN);
+    }
+
+    /** Gives the request up, as this VM exits; the caller gets a final response unless one has begun. */
+    public void vmExits() {
+        giveUp("exit_in_answer", ErrorKind.TARGET_LOST, ErrorKind.STOPPING);
+    }
+
+    private void giveUp(final String outcomeInResponse, final ErrorKind ifExecuted, final ErrorKind ifNotExecuted) {
         if (ended) {
             return;
         }
         cancelAttempt();
         if (responding) {
             caller.abort();
-            finish("deadline_in_answer", "");
+            finish(outcomeInResponse, "");
             return;
         }
-        reject(mayHaveExecuted ? ErrorKind.DEADLINE_DURING_RUN : ErrorKind.DEADLINE_BEFORE_RUN, Optional.empty(), "");
+        reject(mayHaveExecuted ? ifExecuted : ifNotExecuted, Optional.empty(), "");
     }
 
     private void rejectWithNoTarget(final String reason) {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -1,5 +1,6 @@
 package org.balsambank.core.serving;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -311,6 +312,23 @@
         assertEquals(ErrorKind.POISON_REQUEST, caller.rejection());
     }
 
+    // Guards against LOST: a request that comes late in a stop is run although its VM may exit before the response.
+    @Test
+    void requestThatMayOutliveTheStopOfItsVmIsRejectedAtOnce() {
+        fleet.vms.get(TestFleet.vm(0)).core.beginStop(Duration.ofMillis(2_700), Duration.ofMillis(6_700));
+        fleet.advance(2_600);
+        assertEquals(1, attemptsOfOneRequest());
+        fleet.advance(200);
+        final FakeCaller late = fleet.sendRequest(TestFleet.vm(0), PLAIN, Optional.empty(), PLAIN_UNITS);
+        assertEquals(ErrorKind.STOPPING, late.rejection());
+    }
+
+    private int attemptsOfOneRequest() {
+        final int before = fleet.attempts.size();
+        fleet.sendRequest(TestFleet.vm(0), PLAIN, Optional.empty(), PLAIN_UNITS);
+        return fleet.attempts.size() - before;
+    }
+
     private void crashTwoTargets() {
         final Set<TargetId> crashed = new HashSet<>();
         for (int i = 0; i < 2; i++) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -117,27 +117,13 @@
 
     /**
      * Stops gracefully: the readiness page turns unready, the partitions are handed over, new connections are refused
-     * once the load balancer has noticed, and requests in flight may finish within the grace period.
+     * once the load balancer has noticed, and requests that are read or run may finish within the grace period.
      *
-     * @return completes when all requests have ended or the grace period is over
+     * @return completes when all callers have their responses or the grace period is over
      */
     public Completable stop() {
-        return Completable.defer(() -> {
-                    stopping = true;
-                    log.line("stopping")
-                            .with("vm", settings.vm().value())
-                            .with("running", callers.unfinishedConnections())
-                            .write();
-                    callers.stop();
-                    final long sinceNanos = timer.nanoTime();
-                    final Completable requestsServed = timer.every(STOP_CHECK_PERIOD)
-                            .doOnNext(tick -> callers.closeIdle())
-                            .takeWhile(tick -> !drained(Duration.ofNanos(timer.nanoTime() - sinceNanos)))
-                            .ignoreElements();
-                    return Completable.mergeArray(core.handOver(), timer.after(BALANCER_NOTICE_DELAY))
-                            .doOnComplete(callerListener::close)
-                            .andThen(requestsServed);
-                })
+        return Completable.defer(this::serveRemainingRequests)
+                .andThen(Completable.fromAction(this::endUnfinishedRequests))
                 .andThen(timer.after(LAST_RESPONSES_DELAY))
                 .doOnComplete(() -> log.line("stopped")
                         .with("vm", settings.vm().value())
@@ -146,9 +132,31 @@
                 .subscribeOn(timer.scheduler());
     }
 
-    private boolean drained(final Duration since) {
-        return callers.unfinishedConnections() == 0
-                || since.compareTo(settings.grace().minus(STOP_MARGIN)) >= 0;
+    private Completable serveRemainingRequests() {
+        final Duration untilExit = settings.grace().minus(STOP_MARGIN);
+        final long exitNanos = timer.nanoTime() + untilExit.toNanos();
+        stopping = true;
+        log.line("stopping")
+                .with("vm", settings.vm().value())
+                .with("running", callers.unfinishedConnections())
+                .write();
+        core.beginStop(BALANCER_NOTICE_DELAY, untilExit);
+        callers.stop();
+        final Completable requestsServed = timer.every(STOP_CHECK_PERIOD)
+                .doOnNext(tick -> callers.closeIdle())
+                .takeWhile(tick -> callers.unfinishedConnections() > 0 && timer.nanoTime() < exitNanos)
+                .ignoreElements();
+        return Completable.mergeArray(core.handOver(), timer.after(BALANCER_NOTICE_DELAY))
+                .doOnComplete(callerListener::close)
+                .andThen(requestsServed);
+    }
+
+    private void endUnfinishedRequests() {
+        final long unfinished = callers.unfinishedConnections();
+        if (unfinished > 0) {
+            log.line("grace_over").with("unfinished", unfinished).write();
+        }
+        callers.vmExits();
     }
 
     private void logStarted() {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -89,6 +89,13 @@
         execution.callerGone();
     }
 
+    /**
+     * Ends the exchange because this VM exits.
+     */
+    void vmExits() {
+        execution.vmExits();
+    }
+
     /**
      * Resumes reading from the target after the caller's connection became writable again.
      */
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -194,7 +194,7 @@
         }
         exchange = null;
         releaseBody();
-        if (!keepOpen || shared.stopping()) {
+        if (!keepOpen || lastDuringStop()) {
             closeGracefully();
             return;
         }
@@ -216,11 +216,17 @@
      * Returns whether the connection may stay open after a request.
      *
      * @param request the head of the request
-     * @return false if the caller asked to close it, sent too many requests at once, or this VM is stopping
+     * @return false if the caller asked to close it or sent too many requests at once, or if this VM is stopping and
+     *     no further request was read
      */
     boolean keepAlive(final HttpRequest request) {
         final boolean lastBeforeOverflow = overflowed && queuedParts.isEmpty();
-        return HttpUtil.isKeepAlive(request) && !lastBeforeOverflow && !shared.stopping();
+        return HttpUtil.isKeepAlive(request) && !lastBeforeOverflow && !lastDuringStop();
+    }
+
+    /** Returns whether this VM stops and no further request of the caller was read. */
+    private boolean lastDuringStop() {
+        return shared.stopping() && queuedParts.isEmpty();
     }
 
     private void rejectUnreadable(final Throwable cause) {
@@ -246,6 +252,7 @@
 
     private void closeGracefully() {
         state = State.CLOSING;
+        readingHead = false;
         stopTimeout();
         releaseBody();
         releaseQueued();
@@ -270,21 +277,38 @@
     /**
      * Returns whether the caller waits for something of this connection.
      *
-     * @return true while a request runs, or a response is not written to the end
+     * @return true while a request is read or runs, or a response is not written to the end
      */
     boolean unfinished() {
-        return state == State.RUNNING || state == State.CLOSING && closing != null && !closing.flushed();
+        return switch (state) {
+            case IDLE -> readingHead || !queuedParts.isEmpty();
+            case BODY, RUNNING -> true;
+            case CLOSING -> closing != null && !closing.flushed();
+        };
     }
 
     /**
-     * Closes the connection if no request is in progress on it.
+     * Closes the connection if the caller waits for nothing.
      */
     void closeIfIdle() {
-        if (state == State.IDLE && !readingHead) {
+        if (state == State.IDLE && !unfinished()) {
             closeGracefully();
         }
     }
 
+    /**
+     * Ends what the caller waits for, as this VM exits: a request that was not read whole is rejected, one that runs is
+     * given up.
+     */
+    void vmExits() {
+        if (state == State.RUNNING) {
+            releaseQueued();
+            exchange.vmExits();
+        } else if (state == State.BODY || state == State.IDLE && unfinished()) {
+            rejectUnread(ErrorKind.STOPPING, "this VM exits");
+        }
+    }
+
     @Override
     public void channelWritabilityChanged(final ChannelHandlerContext ignored) {
         if (exchange != null && context.channel().isWritable()) {
@@ -351,7 +375,7 @@
 
     /** The states of a connection. */
     private enum State {
-        /** Waits for a request, or reads its head. */
+        /** Waits for a request, or reads its head; read parts of requests may be queued. */
         IDLE,
         /** Reads the body of a request. */
         BODY,
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
@@ -146,19 +146,25 @@
     /**
      * Returns the number of connections whose callers wait for something.
      *
-     * @return the number of connections on which a request runs or a response is not written to the end
+     * @return the number of connections on which a request is read or runs, or a response is not written to the end
      */
     public long unfinishedConnections() {
         return connections.stream().filter(CallerConnection::unfinished).count();
     }
 
-    /** Makes every response from now on the last one of its connection. */
+    /** Makes every response from now on the last one of its connection, unless a further request was read. */
     public void stop() {
         stopping = true;
     }
 
-    /** Closes the connections without a request in progress. */
+    /** Closes the connections whose callers wait for nothing. */
     public void closeIdle() {
         Set.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
+
+    /** Ends all requests, as this VM exits; none is read from now on. */
+    public void vmExits() {
+        closeIdle();
+        Set.copyOf(connections).forEach(CallerConnection::vmExits);
+    }
 }
