Heed targets that say that they leave, or for how long they want no requests

Callers saw: requests sent to targets that had said in a response that they leave (DRAIN), and to targets that had rejected one with a time to come back (BUDGET).

A leaving start gets no request, adapter or order until it starts anew. A pause is no failure; the rejected request goes elsewhere at once; requests return to the target in a second, not all at once. With all targets paused a request waits within its deadline, or is refused at once with the time to come back, spread. Log lines for both marks and their ends, a counter for each.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -1,5 +1,6 @@
 package org.balsambank.core.serving.choice;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -32,6 +33,7 @@
  * <p>Confined to the decision loop.
  */
 public final class TargetChooser {
+    private static final Duration RETURN_INTERVAL = Duration.ofMillis(50);
     private static final double NO_FREE_SLOT_MILLIS = 1_500;
     private static final double FAILURE_MILLIS = 800;
     private static final double FULL_TARGET_MILLIS = 400;
@@ -115,7 +117,7 @@
      *
      * @param service the service of the request
      * @param target the target
-     * @return false if it must not receive requests, or is cold and its rate limit is reached
+     * @return false if it must not receive requests, or is cold or back from a pause and its limit is reached
      */
     public boolean stillAccepts(final ServiceSpec service, final TargetId target) {
         return targets.usable(target)
@@ -124,7 +126,30 @@
                         .isPresent();
     }
 
+    /**
+     * Returns when a service whose targets have paused may accept requests again.
+     *
+     * @param service the service
+     * @return the time until the first of its targets may accept one, empty if none of them pauses or comes back from
+     *     a pause
+     */
+    public Optional<Duration> untilPauseEnds(final ServiceSpec service) {
+        final long now = timer.nanoTime();
+        return targets.usable(service.name()).stream()
+                .filter(state -> returning(state, now))
+                .map(state -> state.pauseRemaining(now))
+                .min(Comparator.naturalOrder())
+                .map(left -> left.isZero() ? RETURN_INTERVAL : left);
+    }
+
+    private boolean returning(final TargetState state, final long now) {
+        return inFlight.total(state.announcement().id()).requests() >= state.maxInFlight(now);
+    }
+
     private boolean accepts(final ServiceSpec service, final TargetState state, final long now) {
+        if (returning(state, now)) {
+            return false;
+        }
         final double perSecond = service.coldPerSecond();
         return perSecond <= 0
                 || !state.cold(now)
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
@@ -3,7 +3,14 @@
 /** Receives the events of one attempt at a target. Confined to the decision loop. */
 public interface AttemptListener {
     /**
-     * Called when the head of the response has arrived; if the response is buffered, when all of it has arrived.
+     * Called when the head of the response has arrived, also if the rest of the response is buffered or is lost.
+     *
+     * @param head the head
+     */
+    void headArrived(ResponseHead head);
+
+    /**
+     * Called after {@link #headArrived} to decide about the response; if it is buffered, when all of it has arrived.
      *
      * @param head the head
      * @return true to forward the response to the caller, false to read and discard it
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -53,6 +53,7 @@
     private final CallerResponder caller;
     private final TargetSender sender;
     private final CrashGuard crashGuard;
+    private final TargetNotices notices;
     private final Set<TargetId> excluded = new HashSet<>();
     private ResolvedRequest resolved;
     private double units;
@@ -94,6 +95,7 @@
         this.caller = Objects.requireNonNull(caller);
         this.sender = Objects.requireNonNull(sender);
         crashGuard = new CrashGuard(dependencies.crashTracker(), attributes);
+        notices = new TargetNotices(dependencies.targets(), dependencies.metrics(), attributes.id());
     }
 
     /** Checks the request and starts the first attempt. */
@@ -206,7 +208,10 @@
                 resolved.route().eventGapMillis());
         final Optional<TargetChoice> chosen = dependencies.chooser().choose(required, excluded);
         if (chosen.isEmpty()) {
-            rejectWithNoTarget("no usable target");
+            dependencies
+                    .chooser()
+                    .untilPauseEnds(resolved.service())
+                    .ifPresentOrElse(this::waitForPause, () -> rejectWithNoTarget("no usable target"));
             return;
         }
         choice = chosen.get();
@@ -225,6 +230,17 @@
         paceAndSend(OptionalLong.empty());
     }
 
+    /** Waits until a target that has paused may take the request; rejects it at once if its deadline comes first. */
+    private void waitForPause(final Duration untilEnd) {
+        final Duration wait = RetryAfter.spreadAfter(untilEnd, dependencies.random());
+        if (dependencies.timer().nanoTime() + wait.toNanos() >= deadlineNanos) {
+            reject(ErrorKind.OVERLOADED, Optional.of(wait), "all targets pause");
+            return;
+        }
+        targetChoices--;
+        pendingWait = dependencies.timer().after(wait).subscribe(this::tryNextTarget);
+    }
+
     private long remainingObjective() {
         if (resolved.route().targetLatencyMillis() <= 0) {
             return 0;
@@ -498,11 +514,17 @@
     private final class Attempt implements AttemptListener {
         private ResponseHead head;
         private boolean forwarded;
+        private boolean pauseWanted;
         private int chunks;
         private long firstChunkMillis = -1;
         private long lastChunkNanos;
         private long longestPauseMillis;
 
+        @Override
+        public void headArrived(final ResponseHead received) {
+            pauseWanted = notices.record(choice.target(), received);
+        }
+
         @Override
         public boolean head(final ResponseHead received) {
             head = received;
@@ -593,7 +615,7 @@
                 if (head.success()) {
                     crashGuard.targetResponded();
                 }
-                dependencies.performance().ended(target.id(), head.serverError());
+                dependencies.performance().ended(target.id(), head.serverError() && !pauseWanted);
                 finish("answered_" + head.status(), "");
                 return;
             }
@@ -601,7 +623,7 @@
                 handleNotExecuted(target);
                 return;
             }
-            dependencies.performance().ended(target.id(), true);
+            dependencies.performance().ended(target.id(), !pauseWanted);
             if (invalid(head)) {
                 handleUnknownOutcome(target);
                 return;
@@ -617,7 +639,7 @@
                         .residency()
                         .recordMissing(target, attributes.adapter().get());
                 missingAdapter = attributes.adapter();
-            } else {
+            } else if (!pauseWanted) {
                 excluded.add(target.id());
                 dependencies.performance().ended(target.id(), true);
             }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
@@ -59,4 +59,14 @@
                         .register(registry))
                 .record(time);
     }
+
+    /** Counts a start of a target that was marked as leaving because of its response. */
+    public void targetLeaving() {
+        registry.counter(PREFIX + "target.marks", "kind", "leaving").increment();
+    }
+
+    /** Counts a rejection with which a target asked for a pause. */
+    public void targetPaused() {
+        registry.counter(PREFIX + "target.marks", "kind", "pause").increment();
+    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RetryAfter.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RetryAfter.java
@@ -13,6 +13,7 @@
     private static final double MIN_MILLIS = 40;
     private static final double MAX_MILLIS = 1_500;
     private static final double JITTER = 0.8;
+    private static final double SPREAD_MILLIS = 500;
 
     private RetryAfter() {}
 
@@ -27,4 +28,15 @@
         final double base = Math.min(MAX_MILLIS, Math.max(MIN_MILLIS, expectedMillis));
         return Duration.ofMillis(Math.round(base * (1 + JITTER * random.nextDouble())));
     }
+
+    /**
+     * Returns a delay that ends after a known time, spread so that callers do not return at the same moment.
+     *
+     * @param known the time until capacity is expected
+     * @param random the source of the spread
+     * @return the delay before the caller should retry
+     */
+    public static Duration spreadAfter(final Duration known, final RandomGenerator random) {
+        return known.plusMillis(Math.round(MIN_MILLIS + SPREAD_MILLIS * random.nextDouble()));
+    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 
 import org.balsambank.core.id.FailureDomain;
+import org.balsambank.core.id.RequestId;
 import org.balsambank.core.id.ServiceName;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
@@ -32,6 +33,7 @@
      */
     public static final Duration EXPIRY_GRACE = Duration.ofMillis(1_800);
 
+    private static final int MAX_LOGGED_CHARS = 40;
     private static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
 
     private final TimerService timer;
@@ -67,9 +69,21 @@
         final long now = timer.nanoTime();
         final long coldUntilNanos =
                 now + Duration.ofMillis(announcement.coldMillis()).toNanos();
-        states.put(announcement.id(), new TargetState(announcement, revision, now, coldUntilNanos, Long.MAX_VALUE));
         final boolean restarted =
                 previous == null || previous.announcement().startedMillis() != announcement.startedMillis();
+        if (restarted && previous != null) {
+            logEndOfMarks(previous);
+        }
+        states.put(
+                announcement.id(),
+                new TargetState(
+                        announcement,
+                        revision,
+                        now,
+                        coldUntilNanos,
+                        Long.MAX_VALUE,
+                        previous == null ? LeavingMark.NONE : previous.leaving().afterAnnouncement(restarted),
+                        previous == null ? PauseMark.NONE : previous.pause().afterAnnouncement(restarted)));
         if (restarted
                 || previous.announcement().draining() != announcement.draining()
                 || announcement.coldMillis() > 0) {
@@ -96,9 +110,7 @@
         }
         final long now = timer.nanoTime();
         states.values().removeIf(each -> each.goneFor(now) > RETENTION_NANOS);
-        final boolean expired = outageSeen
-                && now - recoveredNanos < EXPIRY_GRACE.toNanos()
-                && !previous.announcement().draining();
+        final boolean expired = outageSeen && now - recoveredNanos < EXPIRY_GRACE.toNanos() && !previous.draining();
         final long goneAtNanos = expired ? recoveredNanos + EXPIRY_GRACE.toNanos() : now;
         states.put(
                 id,
@@ -107,13 +119,89 @@
                         revision,
                         previous.receivedNanos(),
                         previous.coldUntilNanos(),
-                        goneAtNanos));
+                        goneAtNanos,
+                        previous.leaving(),
+                        previous.pause()));
         log.line(expired ? "target_lapsed" : "target_gone")
                 .with("target", id.value())
                 .with("revision", revision)
                 .write();
     }
 
+    /**
+     * Records that a target has said in a response that it leaves. It receives no new requests from this VM until it
+     * has started anew, whatever it announces.
+     *
+     * @param target the start of the target that has responded
+     * @param request the request that it responded to
+     * @return true if this was not known
+     */
+    public boolean recordLeaving(final TargetAnnouncement target, final RequestId request) {
+        final Optional<TargetState> state = sameStart(target);
+        if (state.isEmpty() || state.get().leaving().set()) {
+            return false;
+        }
+        states.put(target.id(), state.get().withLeaving());
+        markLine("target_leaving", target).with("request", request.value()).write();
+        return true;
+    }
+
+    /**
+     * Records that a target has rejected a request and wants none from this VM for a time.
+     *
+     * @param target the start of the target that has responded
+     * @param seconds the time as the target has said it
+     * @param request the request that it has rejected
+     * @return true if the target has a pause; false if the time can't be read or the target has started anew
+     */
+    public boolean recordPause(final TargetAnnouncement target, final String seconds, final RequestId request) {
+        final Optional<Duration> wanted = PauseMark.parse(seconds);
+        if (wanted.isEmpty()) {
+            markLine("retry_after_ignored", target)
+                    .with("request", request.value())
+                    .with("value", seconds.substring(0, Math.min(seconds.length(), MAX_LOGGED_CHARS)))
+                    .write();
+            return false;
+        }
+        final Optional<TargetState> state = sameStart(target);
+        if (state.isEmpty()) {
+            return false;
+        }
+        final TargetState paused = state.get().withPause(timer.nanoTime(), wanted.get());
+        states.put(target.id(), paused);
+        if (!paused.pause().equals(state.get().pause())) {
+            markLine("target_paused", target)
+                    .with("request", request.value())
+                    .with("pause_ms", wanted.get().toMillis())
+                    .write();
+            timer.after(wanted.get()).subscribe(() -> logEndOfPause(target, paused.pause()));
+        }
+        return true;
+    }
+
+    private Optional<TargetState> sameStart(final TargetAnnouncement target) {
+        return find(target.id()).filter(state -> state.announcement().startedMillis() == target.startedMillis());
+    }
+
+    private void logEndOfPause(final TargetAnnouncement target, final PauseMark ended) {
+        if (sameStart(target).filter(state -> state.pause().equals(ended)).isPresent()) {
+            markLine("target_pause_ended", target).write();
+        }
+    }
+
+    private void logEndOfMarks(final TargetState previous) {
+        if (previous.leaving().set()) {
+            markLine("target_leaving_ended", previous.announcement()).write();
+        }
+        if (!previous.pauseRemaining(timer.nanoTime()).isZero()) {
+            markLine("target_pause_ended", previous.announcement()).write();
+        }
+    }
+
+    private DecisionLog.Line markLine(final String event, final TargetAnnouncement target) {
+        return log.line(event).with("target", target.id().value()).with("started_ms", target.startedMillis());
+    }
+
     /**
      * Records that the key-value service is available again after an outage.
      *
@@ -140,7 +228,7 @@
     }
 
     /**
-     * Returns the targets of a service that may receive new requests.
+     * Returns the targets of a service that are in service, those with a pause included.
      *
      * @param service the service
      * @return the targets, ordered by id
@@ -163,12 +251,14 @@
      * Returns whether a target may receive new requests.
      *
      * @param id the target
-     * @return false if it is unknown, draining, gone or in a failure domain that is out of service
+     * @return false if it is unknown, draining, leaving, paused, gone or in a failure domain that is out of service
      */
     public boolean usable(final TargetId id) {
+        final long now = timer.nanoTime();
         final TargetState state = states.get(id);
         return state != null
-                && state.usable(timer.nanoTime())
+                && state.usable(now)
+                && state.pauseRemaining(now).isZero()
                 && !domainsOut.contains(state.announcement().domain());
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -1,6 +1,7 @@
 package org.balsambank.core.serving;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
@@ -22,6 +23,7 @@
     final List<PromptPartId> parts;
     boolean cancelled;
     boolean written = true;
+    private boolean responded;
     private final AttemptListener listener;
 
     FakeAttempt(
@@ -41,10 +43,31 @@
 
     /** Sends a complete response; returns whether it was forwarded to the caller. */
     boolean respond(final int status, final boolean notExecuted) {
-        if (cancelled) {
+        return respond(head(status, notExecuted, false, Optional.empty()));
+    }
+
+    /** Sends a complete response of a target that leaves. */
+    boolean respondLeaving(final int status, final boolean notExecuted) {
+        return respond(head(status, notExecuted, true, Optional.empty()));
+    }
+
+    /** Rejects the request and asks for no more for some seconds. */
+    void rejectWithPause(final String seconds) {
+        respond(head(503, true, false, Optional.of(seconds)));
+    }
+
+    private static ResponseHead head(
+            final int status, final boolean notExecuted, final boolean leaving, final Optional<String> retryAfter) {
+        return new ResponseHead(status, notExecuted, !notExecuted, false, leaving, retryAfter);
+    }
+
+    private boolean respond(final ResponseHead head) {
+        if (cancelled || responded) {
             return false;
         }
-        final boolean forwarded = listener.head(new ResponseHead(status, notExecuted, !notExecuted, false));
+        responded = true;
+        listener.headArrived(head);
+        final boolean forwarded = listener.head(head);
         listener.chunk();
         listener.ended(AttemptEnd.COMPLETE);
         return forwarded;
@@ -52,10 +75,7 @@
 
     /** Sends a success response without a seal; returns whether it was forwarded to the caller. */
     boolean respondWithoutSeal() {
-        final boolean forwarded = listener.head(new ResponseHead(200, false, false, false));
-        listener.chunk();
-        listener.ended(AttemptEnd.COMPLETE);
-        return forwarded;
+        return respond(new ResponseHead(200, false, false, false, false, Optional.empty()));
     }
 
     /** Sends the head and first chunk of a success response. */
@@ -66,7 +86,14 @@
 
     /** Sends the head of a success response. */
     void sendHead() {
-        listener.head(new ResponseHead(200, false, true, false));
+        sendHead(false);
+    }
+
+    /** Sends the head of a success response of a target that may leave. */
+    void sendHead(final boolean leaving) {
+        final ResponseHead head = head(200, false, leaving, Optional.empty());
+        listener.headArrived(head);
+        listener.head(head);
     }
 
     void sendChunk() {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -17,6 +17,7 @@
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.balsambank.core.serving.request.AttemptListener;
+import org.balsambank.core.serving.request.ResponseHead;
 import org.balsambank.core.serving.request.TargetSender;
 import org.balsambank.gateway.Dialect;
 
@@ -167,13 +168,18 @@
             return false;
         }
         head = received;
+        final ResponseHead parsed = dialect.parseResponseHead(received);
+        listener.headArrived(parsed);
+        if (ended) {
+            return true;
+        }
         if (isEventStream(received) && !hasNoBody()) {
             streamTail = new EventStreamTail();
         }
         if (buffered) {
             buffer = Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS);
         } else {
-            accepted = listener.head(dialect.parseResponseHead(received));
+            accepted = listener.head(parsed);
         }
         return true;
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -40,6 +40,9 @@
         return true;
     }
 
+    @Override
+    public void headArrived(final ResponseHead head) {}
+
     @Override
     public boolean head(final ResponseHead head) {
         return true;
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
@@ -41,7 +41,7 @@
 
     @Override
     public ResponseHead parseResponseHead(final HttpResponse head) {
-        return new ResponseHead(head.status().code(), false, true, false);
+        return new ResponseHead(head.status().code(), false, true, false, false, Optional.empty());
     }
 
     @Override
