Hold no more memory for request bodies than is counted

Callers saw: no answer for 4 to 9 s, on small requests too, while 20 callers sent files of 4 MB, all within the limits (CONFIG).

Cause: bodies kept the buffers in which they were read, which are larger than what they hold, and the limit counted the bytes only; with the direct memory used up each read waits on the only event loop. Evidence: RequestBodyTest with slices kept as before fails ("the body keeps a buffer of 65536 bytes").

Change: RequestBody copies into one buffer and holds what it has reserved from MemoryBudget, half of the direct memory; what does not fit is refused at its head.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -37,15 +36,14 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_QUEUED_PARTS = 64;
-    private static final int MAX_BODY_COMPONENTS = 1_024;
+    private static final String BODY_MEMORY_EXHAUSTED = "body buffer memory exhausted";
 
     private final CallerContext shared;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private State state = State.IDLE;
     private HttpRequest head;
-    private CompositeByteBuf body;
-    private int reservedBytes;
+    private RequestBody body;
     private long arrivedNanos;
     private CallExchange exchange;
     private Future<?> timeout;
@@ -129,7 +127,7 @@
         readingHead = false;
         head = request;
         arrivedNanos = shared.timer().nanoTime();
-        body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
+        body = new RequestBody(shared.bodyMemory());
         state = State.BODY;
         startTimeout(bounds().headerTimeoutMillis());
         final Optional<ErrorKind> error = shared.dialect().validate(request);
@@ -141,6 +139,10 @@
             rejectUnread(ErrorKind.BODY_TOO_LARGE, "length");
             return;
         }
+        if (!body.reserve((int) HttpUtil.getContentLength(request, 0L))) {
+            rejectUnread(ErrorKind.OVERLOADED, BODY_MEMORY_EXHAUSTED);
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -153,22 +155,17 @@
             content.release();
             return;
         }
-        if (body.readableBytes() + size > bounds().maxBodyBytes()) {
+        if (body.bytes().readableBytes() + size > bounds().maxBodyBytes()) {
             content.release();
             rejectUnread(ErrorKind.BODY_TOO_LARGE, "body");
             return;
         }
-        if (!shared.reserve(size)) {
-            content.release();
-            rejectUnread(ErrorKind.OVERLOADED, "body buffer memory exhausted");
+        final boolean appended = body.append(content.content());
+        content.release();
+        if (!appended) {
+            rejectUnread(ErrorKind.OVERLOADED, BODY_MEMORY_EXHAUSTED);
             return;
         }
-        reservedBytes += size;
-        if (size > 0) {
-            body.addComponent(true, content.content());
-        } else {
-            content.release();
-        }
         if (content instanceof LastHttpContent) {
             startExchange();
         } else {
@@ -179,7 +176,7 @@
     private void startExchange() {
         stopTimeout();
         state = State.RUNNING;
-        exchange = new CallExchange(shared, this, context, head, body, arrivedNanos);
+        exchange = new CallExchange(shared, this, context, head, body.bytes(), arrivedNanos);
         exchange.start();
     }
 
@@ -360,8 +357,6 @@
             body.release();
             body = null;
         }
-        shared.release(reservedBytes);
-        reservedBytes = 0;
     }
 
     private void releaseQueued() {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import io.netty.util.internal.PlatformDependent;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.ServingCore;
 import org.balsambank.core.time.TimerService;
@@ -15,15 +16,16 @@
  * <p>Confined to the decision loop.
  */
 public final class CallerContext {
-    private static final long MAX_BUFFERED_BYTES = 64L * 1024 * 1024;
+    /** Half of the direct memory of the process; the rest is for reads, responses and the key-value service. */
+    private static final long MAX_BODY_BYTES = PlatformDependent.maxDirectMemory() / 2;
 
     private final ServingCore core;
     private final Dialect dialect;
     private final TargetConnectionPools pools;
     private final TimerService timer;
     private final DecisionLog log;
+    private final MemoryBudget bodyMemory = new MemoryBudget(MAX_BODY_BYTES);
     private final Set<CallerConnection> connections = new HashSet<>();
-    private long bufferedBytes;
     private boolean stopping;
 
     /**
@@ -121,26 +123,12 @@
     }
 
     /**
-     * Reserves memory for a request body, within the limit for all connections.
+     * Returns the memory for the request bodies of all connections.
      *
-     * @param bytes the number of bytes
-     * @return false if the limit would be exceeded
+     * @return the budget
      */
-    boolean reserve(final int bytes) {
-        if (bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
-            return false;
-        }
-        bufferedBytes += bytes;
-        return true;
-    }
-
-    /**
-     * Releases memory reserved for a body.
-     *
-     * @param bytes the number of bytes
-     */
-    void release(final int bytes) {
-        bufferedBytes -= bytes;
+    MemoryBudget bodyMemory() {
+        return bodyMemory;
     }
 
     /**
