Never fail on saved evidence that can't be read; don't wait for targets that refused the request

A value of the store that can be parsed but holds no valid id threw in the check of SavedEvidence, which would have restarted it again and again. A request waited for the pause of a target that had refused or failed it before, which it would not be sent to. On the product's own interface the first read of the evidence is repeated every two seconds, not twice a second, while the service is away.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -130,12 +130,14 @@
      * Returns when a service whose targets have paused may accept requests again.
      *
      * @param service the service
-     * @return the time until the first of its targets may accept one, empty if none of them pauses or comes back from
-     *     a pause
+     * @param excluded the targets that have refused or failed the request
+     * @return the time until the first of its other targets may accept one, empty if none of them pauses or comes back
+     *     from a pause
      */
-    public Optional<Duration> untilPauseEnds(final ServiceSpec service) {
+    public Optional<Duration> untilPauseEnds(final ServiceSpec service, final Set<TargetId> excluded) {
         final long now = timer.nanoTime();
         return targets.usable(service.name()).stream()
+                .filter(state -> !excluded.contains(state.announcement().id()))
                 .filter(state -> returning(state, now))
                 .map(state -> state.pauseRemaining(now))
                 .min(Comparator.naturalOrder())
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -210,7 +210,7 @@
         if (chosen.isEmpty()) {
             dependencies
                     .chooser()
-                    .untilPauseEnds(resolved.service())
+                    .untilPauseEnds(resolved.service(), excluded)
                     .ifPresentOrElse(this::waitForPause, () -> rejectWithNoTarget("no usable target"));
             return;
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/target/SavedEvidence.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/SavedEvidence.java
@@ -33,7 +33,7 @@
  */
 public abstract class SavedEvidence implements Component {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
-    private static final Duration LOAD_RETRY_DELAY = Duration.ofMillis(500);
+    private static final Duration LOAD_RETRY_DELAY = Duration.ofSeconds(2);
     private static final long RETRY_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
     private static final int MAX_CALLS_PER_CHECK = 4;
 
@@ -199,17 +199,21 @@
 
     private boolean needsSave(final String subject, final ByteString current) {
         final Saved known = saved.get(subject);
-        try {
-            if (known != null && upToDate(known.value, current)) {
-                observed.remove(subject);
-                return false;
-            }
-        } catch (final InvalidProtocolBufferException e) {
-            return mayCall(subject);
+        if (known != null && holdsAll(known.value, current)) {
+            observed.remove(subject);
+            return false;
         }
         return mayCall(subject);
     }
 
+    private boolean holdsAll(final ByteString savedValue, final ByteString current) {
+        try {
+            return upToDate(savedValue, current);
+        } catch (final InvalidProtocolBufferException | IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     private void save(final String subject, final ByteString value) {
         attemptedAt.put(subject, timer.nanoTime());
         final long expected = saved.containsKey(subject) ? saved.get(subject).revision : KeyValueStore.ABSENT;
--- a/balsambank-core/src/test/java/org/balsambank/core/target/SavedPoisonRequestsTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/target/SavedPoisonRequestsTest.java
@@ -96,6 +96,18 @@
         advance(Duration.ofSeconds(1));
     }
 
+    // Guards against a component that fails again and again on a value that another program has written.
+    @Test
+    void unreadableValueOfARequestWithCrashesIsReplaced() {
+        first.crash("b1");
+        first.crash("b2");
+        first.client
+                .compareAndSwap(KEY, KeyValueStore.ABSENT, ByteString.copyFromUtf8("\u0001no"), Optional.empty())
+                .subscribe();
+        advance(Duration.ofSeconds(5));
+        assertEquals(Verdict.POISON, new Vm("later", false, 0).verdictAfterLoading());
+    }
+
     private void advance(final Duration duration) {
         clock.advanceTimeBy(duration.toMillis(), TimeUnit.MILLISECONDS);
     }
