Log requests that are read on closed connections, connections that fail, and how late a stop begins

Of the hypotheses written down before any change of logic, two could not be told from the others: a request that is discarded on a connection that the VM has closed left no line, nor did a connection of a caller that an error ended. A stop did not tell how long after the signal it began.

New lines: request_discarded (request, why and how long ago the connection was closed) and caller_connection_failed; new field late_ms of the line stopping. No decision is changed.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/Dialect.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/Dialect.java
@@ -26,6 +26,14 @@
      */
     Optional<ErrorKind> validate(HttpRequest head);
 
+    /**
+     * Returns the id that the caller gave a request.
+     *
+     * @param head the head, valid or not
+     * @return the id, or empty if there is none
+     */
+    Optional<RequestId> requestId(HttpRequest head);
+
     /**
      * Parses a complete request.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -122,7 +123,8 @@
      * @return completes when all callers have their responses or the grace period is over
      */
     public Completable stop() {
-        return Completable.defer(this::serveRemainingRequests)
+        final long requestedNanos = timer.nanoTime();
+        return Completable.defer(() -> serveRemainingRequests(requestedNanos))
                 .andThen(Completable.fromAction(this::endUnfinishedRequests))
                 .andThen(timer.after(LAST_RESPONSES_DELAY))
                 .doOnComplete(() -> log.line("stopped")
@@ -132,13 +134,14 @@
                 .subscribeOn(timer.scheduler());
     }
 
-    private Completable serveRemainingRequests() {
+    private Completable serveRemainingRequests(final long requestedNanos) {
         final Duration untilExit = settings.grace().minus(STOP_MARGIN);
         final long exitNanos = timer.nanoTime() + untilExit.toNanos();
         stopping = true;
         log.line("stopping")
                 .with("vm", settings.vm().value())
                 .with("running", callers.unfinishedConnections())
+                .with("late_ms", TimeUnit.NANOSECONDS.toMillis(timer.nanoTime() - requestedNanos))
                 .write();
         core.beginStop(BALANCER_NOTICE_DELAY, untilExit);
         callers.stop();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import org.balsambank.core.error.ErrorKind;
+import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.plan.CallerBounds;
 import org.balsambank.gateway.loop.Channels;
 
@@ -50,6 +51,8 @@
     private boolean readingHead;
     private boolean overflowed;
     private GracefulClose closing;
+    private CloseReason closeReason = CloseReason.CLOSED_BY_CALLER;
+    private long closedNanos;
 
     /**
      * Creates the handler of a connection that is not open yet.
@@ -81,10 +84,14 @@
 
     @Override
     public void channelRead(final ChannelHandlerContext ignored, final Object message) {
-        if (!(message instanceof HttpObject part) || state == State.CLOSING) {
+        if (!(message instanceof HttpObject part)) {
             ReferenceCountUtil.release(message);
             return;
         }
+        if (state == State.CLOSING) {
+            discard(part);
+            return;
+        }
         if (overflowed) {
             ReferenceCountUtil.release(part);
         } else if (state == State.RUNNING || !queuedParts.isEmpty()) {
@@ -94,6 +101,23 @@
         }
     }
 
+    private void discard(final HttpObject part) {
+        if (part instanceof HttpRequest request) {
+            shared.log()
+                    .line("request_discarded")
+                    .with(
+                            "request",
+                            shared.dialect()
+                                    .requestId(request)
+                                    .map(RequestId::value)
+                                    .orElse(""))
+                    .with("closed", closeReason.code())
+                    .with("after_ms", millisSince(closedNanos))
+                    .write();
+        }
+        ReferenceCountUtil.release(part);
+    }
+
     /**
      * Queues a part of a pipelined request. If there are too many, the rest is read and discarded, so that the close of
      * the connection is still noticed; the connection is closed after the responses to the queued requests.
@@ -192,7 +216,7 @@
         exchange = null;
         releaseBody();
         if (!keepOpen || lastDuringStop()) {
-            closeGracefully();
+            closeGracefully(CloseReason.LAST_RESPONSE);
             return;
         }
         state = State.IDLE;
@@ -205,7 +229,7 @@
             process(queuedParts.pollFirst());
         }
         if (overflowed && queuedParts.isEmpty() && state != State.RUNNING && state != State.CLOSING) {
-            closeGracefully();
+            closeGracefully(CloseReason.PIPELINE_OVERFLOW);
         }
     }
 
@@ -244,11 +268,11 @@
         final FullHttpResponse response = shared.dialect().errorResponse(kind, Optional.empty());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(response);
-        closeGracefully();
+        closeGracefully(CloseReason.REJECTED);
     }
 
-    private void closeGracefully() {
-        state = State.CLOSING;
+    private void closeGracefully(final CloseReason reason) {
+        closing(reason);
         readingHead = false;
         stopTimeout();
         releaseBody();
@@ -259,6 +283,16 @@
         }
     }
 
+    private void closing(final CloseReason reason) {
+        state = State.CLOSING;
+        closeReason = reason;
+        closedNanos = shared.timer().nanoTime();
+    }
+
+    private long millisSince(final long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(shared.timer().nanoTime() - nanos);
+    }
+
     /**
      * Resets the connection, so that a partially written response does not look complete.
      */
@@ -267,7 +301,7 @@
             exchange = null;
             releaseBody();
         }
-        state = State.CLOSING;
+        closing(CloseReason.RESPONSE_BROKEN);
         Channels.reset(context.channel());
     }
 
@@ -289,7 +323,7 @@
      */
     void closeIfIdle() {
         if (state == State.IDLE && !unfinished()) {
-            closeGracefully();
+            closeGracefully(CloseReason.STOPPING);
         }
     }
 
@@ -315,6 +349,11 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext ignored, final Throwable cause) {
+        shared.log()
+                .line("caller_connection_failed")
+                .with("state", state.name())
+                .with("cause", String.valueOf(cause))
+                .write();
         context.close();
     }
 
@@ -327,7 +366,7 @@
             exchange = null;
             unfinished.callerGone();
         }
-        state = State.CLOSING;
+        closing(CloseReason.CLOSED_BY_CALLER);
         releaseBody();
         releaseQueued();
     }
@@ -348,7 +387,7 @@
         if (state == State.BODY || readingHead) {
             rejectUnread(ErrorKind.SLOW_SENDER, "request timed out");
         } else if (state == State.IDLE) {
-            closeGracefully();
+            closeGracefully(CloseReason.IDLE);
         }
     }
 
@@ -368,6 +407,34 @@
         return shared.core().bounds();
     }
 
+    /** The reasons why a connection is closed. */
+    private enum CloseReason {
+        /** The response was the last of the connection. */
+        LAST_RESPONSE("last_response"),
+        /** The caller sent too many requests at once. */
+        PIPELINE_OVERFLOW("pipeline_overflow"),
+        /** A request was rejected before it was read whole. */
+        REJECTED("rejected"),
+        /** A response was broken off. */
+        RESPONSE_BROKEN("response_broken"),
+        /** This VM stops. */
+        STOPPING("stopping"),
+        /** No request came for the idle time-out. */
+        IDLE("idle"),
+        /** The caller closed or lost the connection. */
+        CLOSED_BY_CALLER("closed_by_caller");
+
+        private final String code;
+
+        CloseReason(final String code) {
+            this.code = code;
+        }
+
+        String code() {
+            return code;
+        }
+    }
+
     /** The states of a connection. */
     private enum State {
         /** Waits for a request, or reads its head; read parts of requests may be queued. */
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
@@ -29,6 +29,11 @@
         throw new UnsupportedOperationException("not used in this test");
     }
 
+    @Override
+    public Optional<RequestId> requestId(final HttpRequest head) {
+        throw new UnsupportedOperationException("not used in this test");
+    }
+
     @Override
     public RequestAttributes parseRequest(final HttpRequest head, final ByteBuf body, final long arrivedNanos) {
         throw new UnsupportedOperationException("not used in this test");
