--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -6,13 +6,10 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.balsambank.core.error.ErrorKind;
-import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
-import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.choice.EngineLatencyModel;
 import org.balsambank.core.serving.choice.PrefillPacing;
 import org.balsambank.core.serving.choice.TargetChoice;
@@ -54,6 +51,7 @@
     private final TargetSender sender;
     private final CrashGuard crashGuard;
     private final TargetNotices notices;
+    private final RequestLog log;
     private final Set<TargetId> excluded = new HashSet<>();
     private ResolvedRequest resolved;
     private double units;
@@ -96,6 +94,7 @@
         this.sender = Objects.requireNonNull(sender);
         crashGuard = new CrashGuard(dependencies.crashTracker(), attributes);
         notices = new TargetNotices(dependencies.targets(), dependencies.metrics(), attributes.id());
+        log = new RequestLog(dependencies.log(), attributes);
     }
 
     /** Checks the request and starts the first attempt. */
@@ -300,13 +299,7 @@
             return;
         }
         adapterWaitMillis += millisSince(sinceNanos);
-        line("adapter_wait")
-                .with("target", choice.target().id().value())
-                .with("adapter", adapter.toString())
-                .with("held", String.valueOf(result.resident()))
-                .with("reason", result.reason())
-                .with("waited_ms", millisSince(sinceNanos))
-                .write();
+        log.adapterWaitEnded(choice.target().id(), adapter, result, millisSince(sinceNanos));
         if (!result.resident() || !dependencies.targets().usable(choice.target().id())) {
             excluded.add(choice.target().id());
             tryNextTarget();
@@ -378,22 +371,13 @@
                 remaining,
                 expectedVersion(target, loadedVersion),
                 resolved.route().repeatPolicy() != RepeatPolicy.STREAM);
-        line("sent")
-                .with("target", target.id().value())
-                .with("adapter", attributes.adapter().map(AdapterKey::toString).orElse(""))
-                .with(
-                        "parts",
-                        attributes.sharedParts().stream()
-                                .map(PromptPartId::value)
-                                .collect(Collectors.joining(",")))
-                .with("attempt", attempts)
-                .with("estimate_ms", Math.round(choice.estimateMillis()))
-                .with("read_ms", Math.round(choice.processingMillis()))
-                .with("paced_ms", pacingMillis)
-                .with("plan_version", resolved.plan().version())
-                .with("plan_age_ms", dependencies.activePlan().age().toMillis())
-                .with("remaining_ms", remaining)
-                .write();
+        log.sent(
+                choice,
+                attempts,
+                pacingMillis,
+                resolved.plan().version(),
+                dependencies.activePlan().age(),
+                remaining);
         currentAttempt = sender.send(outgoing, new Attempt());
     }
 
@@ -454,20 +438,14 @@
         pendingWait.dispose();
         verdicts.dispose();
         dependencies.metrics().outcome(outcome);
-        line("ended")
-                .with("outcome", outcome)
-                .with("why", reason)
-                .with("route", resolved == null ? "" : resolved.route().name())
-                .with(
-                        "team",
-                        resolved == null
-                                ? ""
-                                : resolved.team().map(each -> each.id().value()).orElse(""))
-                .with("units", Math.round(units))
-                .with("sends", attempts)
-                .with("plan_version", planVersion())
-                .with("took_ms", millisSince(attributes.arrivedNanos()))
-                .write();
+        log.ended(
+                outcome,
+                reason,
+                Optional.ofNullable(resolved),
+                units,
+                attempts,
+                planVersion(),
+                millisSince(attributes.arrivedNanos()));
     }
 
     private long planVersion() {
@@ -481,12 +459,7 @@
             final boolean written = currentAttempt.cancel();
             currentAttempt = null;
             mayHaveExecuted = written || executions > 0;
-            line("send_ended")
-                    .with("target", choice.target().id().value())
-                    .with("end", "CANCELLED")
-                    .with("written", String.valueOf(written))
-                    .with("took_ms", millisSince(sentNanos))
-                    .write();
+            log.attemptCancelled(choice.target().id(), written, millisSince(sentNanos));
         }
         endInFlight();
     }
@@ -506,10 +479,6 @@
         return Duration.ofNanos(dependencies.timer().nanoTime() - nanos).toMillis();
     }
 
-    private DecisionLog.Line line(final String event) {
-        return dependencies.log().line(event).with("request", attributes.id().value());
-    }
-
     /** Handles the events of one attempt. */
     private final class Attempt implements AttemptListener {
         private ResponseHead head;
@@ -577,7 +546,7 @@
             currentAttempt = null;
             endInFlight();
             final TargetAnnouncement target = choice.target();
-            line("send_ended")
+            log.line("send_ended")
                     .with("target", target.id().value())
                     .with("end", end.name())
                     .with("status", head == null ? 0 : head.status())
