Leave the end of a response in progress to its target until after the deadline of its caller

What callers saw: a response in progress was broken off up to 15 ms before the caller's deadline. Cause: the deadline of a request ends 15 ms early, so that the VM's own final response arrives in time. The same time was used to break off a response in progress, for which there is no such response. Class: a margin meant for one case was applied to another. Change: a response in progress is given up 100 ms after the request's deadline. The target has the same deadline and ends it before; a caller that leaves at its deadline cancels it. Evidence: RequestExecutionTest.responseInProgressIsNotBrokenOffBeforeTheDeadlineOfItsCaller failed before (one abort) and passes now; a response that its target doesn't end is still broken off (second test).

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -39,6 +39,9 @@
     private static final int SURVIVED_CHUNKS = 2;
 
     private static final long DEADLINE_MARGIN_NANOS = Duration.ofMillis(15).toNanos();
+    /** The time that a target may need to end a response after its deadline. */
+    private static final Duration TARGET_END_MARGIN = Duration.ofMillis(100);
+
     private static final double MAX_LATENCY_OBJECTIVES = 3.6;
     private static final double DEADLINE_SHARE = 0.9;
     private static final long MAX_ADAPTER_WAIT_MILLIS = 1_000;
@@ -392,7 +395,16 @@
         return dependencies.residency().of(target).version(attributes.adapter().get());
     }
 
+    /** Gives the request up; a response in progress is left to its target, which ends it at the same deadline. */
     private void deadlineExpired() {
+        if (responding) {
+            deadline = dependencies.timer().after(TARGET_END_MARGIN).subscribe(this::deadlineOverrun);
+        } else {
+            deadlineOverrun();
+        }
+    }
+
+    private void deadlineOverrun() {
         giveUp("deadline_in_answer", ErrorKind.DEADLINE_DURING_RUN, ErrorKind.DEADLINE_BEFORE_RUN);
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
@@ -21,6 +21,7 @@
     private static final String UNSAFE = "/unsafe/";
     private static final String SAFE = "/safe/";
     private static final String STREAM = "/stream/";
+    private static final int DEADLINE_MILLIS = 4_000;
 
     private final TestFleet fleet = new TestFleet(1, 3);
 
@@ -123,11 +124,34 @@
     @Test
     void finalResponseIsSentAtTheDeadline() {
         final FakeCaller caller = call(UNSAFE);
-        fleet.advance(3_999);
+        fleet.advance(DEADLINE_MILLIS - 1);
         assertEquals(ErrorKind.DEADLINE_DURING_RUN, caller.rejection());
         assertTrue(fleet.lastAttempt().cancelled);
     }
 
+    // Guards against LOST: a response is broken off some ms before its caller's deadline.
+    @Test
+    void responseInProgressIsNotBrokenOffBeforeTheDeadlineOfItsCaller() {
+        final FakeCaller caller = call(UNSAFE);
+        fleet.advance(DEADLINE_MILLIS - 20);
+        fleet.lastAttempt().startResponse();
+        fleet.advance(20);
+        assertEquals(0, caller.aborts);
+        fleet.lastAttempt().sendChunk();
+        fleet.lastAttempt().end(AttemptEnd.COMPLETE);
+        fleet.advance(1_000);
+        assertEquals(0, caller.aborts);
+    }
+
+    @Test
+    void responseThatItsTargetDoesNotEndIsBrokenOffSoonAfterTheDeadline() {
+        final FakeCaller caller = call(UNSAFE);
+        fleet.lastAttempt().startResponse();
+        fleet.advance(DEADLINE_MILLIS + 200);
+        assertEquals(1, caller.aborts);
+        assertTrue(fleet.lastAttempt().cancelled);
+    }
+
     @Test
     void requestThatCrashedTwoTargetsIsRejected() {
         call(UNSAFE);
