Deliver what was passed on of a response before its connection ends

Cause: a reset discards what the system holds for the caller. Class: a way to end a connection that is meant for data nobody wants was used where data is owed. It was chosen so that a partial response does not look complete; a response with a length or in chunks does not, as its end is missing. Change: such a response ends with a close after what was passed on; only one that ends with its connection is reset. Evidence: BrokenResponseTest: before, 17,408 of 200,000 bytes reached a caller with a small buffer; now all.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -44,7 +44,7 @@
     private final RequestExecution execution;
     private TargetConnectionPools.Attempt attempt;
     private boolean headWritten;
-    private boolean chunked;
+    private boolean framed;
     private boolean keepAlive;
     private boolean finished;
 
@@ -130,7 +130,7 @@
             return;
         }
         finished = true;
-        connection.reset();
+        connection.breakOff(framed);
     }
 
     @Override
@@ -149,11 +149,12 @@
         final HttpResponse head = new DefaultHttpResponse(
                 HttpVersion.HTTP_1_1, response.status(), shared.dialect().callerResponseHeaders(response));
         final HttpHeaders headers = head.headers();
+        framed = true;
         if (HttpUtil.isContentLengthSet(response)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, HttpUtil.getContentLength(response));
         } else if (!hasNoBody(response)) {
-            chunked = request.protocolVersion().isKeepAliveDefault();
-            if (chunked) {
+            framed = request.protocolVersion().isKeepAliveDefault();
+            if (framed) {
                 headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
             } else {
                 keepAlive = false;
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -294,13 +294,18 @@
     }
 
     /**
-     * Resets the connection, so that a partially written response does not look complete.
+     * Ends the connection in the middle of a response. What was written of it still reaches the caller, unless its end
+     * would then make it look complete.
+     *
+     * @param framed whether the caller can tell from the bytes that the response is incomplete
      */
-    void reset() {
-        if (state == State.RUNNING) {
-            exchange = null;
-            releaseBody();
+    void breakOff(final boolean framed) {
+        exchange = null;
+        if (framed) {
+            closeGracefully(CloseReason.RESPONSE_BROKEN);
+            return;
         }
+        releaseBody();
         closing(CloseReason.RESPONSE_BROKEN);
         Channels.reset(context.channel());
     }
