Read an idle connection once more before it is closed, and a slow one before its request is rejected

What callers saw: a connection on which no answer was outstanding was closed, by a stop or at the idle time-out, after a whole request had been sent on it; the request was read after the close and discarded, without an answer. In the same way a caller whose whole request waited in its socket got 408 as a slow sender.

Class of fault: a belief that is older than the event it is compared with. An event loop reads its sockets once a round and then runs its tasks; timers that fell due while the loop was late run after that read, and all that arrived since is not seen yet. The later the loop, the longer that time; a request in it may be much older than the 200 ms in which it may cross a close.

Ruled out: looking again a round later (NextPoll) is no full answer, since tasks that run between that read and the close have the same effect. The read is therefore made in the task that closes, right before it.

Why it works: what has arrived is passed to the handlers before the decision, and any byte or a new time-out takes the connection out of the set to be closed. What arrives between the read and the close of the output, two system calls of one thread, crosses the close. Also at the exit: what was read whole gets its answer from the request, not from the reader.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -319,12 +319,29 @@
     }
 
     /**
-     * Closes the connection if the caller waits for nothing.
+     * Closes the connection if the caller waits for nothing, after what has arrived by now was read.
      */
     void closeIfIdle() {
-        if (state == State.IDLE && !unfinished()) {
-            closeGracefully(CloseReason.STOPPING);
+        closeIfIdle(CloseReason.STOPPING);
+    }
+
+    private void closeIfIdle(final CloseReason reason) {
+        if (!idle()) {
+            return;
         }
+        final Future<?> idleTimeout = timeout;
+        readArrived();
+        if (idle() && timeout == idleTimeout) {
+            closeGracefully(reason);
+        }
+    }
+
+    private boolean idle() {
+        return state == State.IDLE && !unfinished();
+    }
+
+    private void readArrived() {
+        Channels.readArrived(context.channel());
     }
 
     /**
@@ -332,6 +349,9 @@
      * given up.
      */
     void vmExits() {
+        if (state != State.CLOSING) {
+            readArrived();
+        }
         if (state == State.RUNNING) {
             releaseQueued();
             exchange.vmExits();
@@ -384,10 +404,15 @@
     }
 
     private void onTimeout() {
-        if (state == State.BODY || readingHead) {
+        if (idle()) {
+            closeIfIdle(CloseReason.IDLE);
+            return;
+        }
+        final Future<?> elapsed = timeout;
+        readArrived();
+        final boolean progressed = timeout != elapsed;
+        if (!progressed && (state == State.BODY || readingHead)) {
             rejectUnread(ErrorKind.SLOW_SENDER, "request timed out");
-        } else if (state == State.IDLE) {
-            closeGracefully(CloseReason.IDLE);
         }
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.AbstractNioChannel;
 
 /** Operations on channels. Stateless; confined to the decision loop. */
 public final class Channels {
@@ -19,4 +20,17 @@
             channel.close();
         }
     }
+
+    /**
+     * Reads what has arrived on a socket by now, or a part of it, and passes it to the handlers. Between two reads of
+     * the event loop its tasks run, so a task that must not miss what has arrived reads first. Does nothing if the
+     * connection is closed or has no socket.
+     *
+     * @param channel the connection; not being read by a caller of this method
+     */
+    public static void readArrived(final Channel channel) {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+    }
 }
