Read what has arrived before a response says that it is the last of its connection

What callers saw: a request that was sent behind a running one and waited in its socket was read after the response had been marked as the last one of its connection (the VM stops), and discarded without an answer.

"No further request was read" was taken for "none has arrived".

Evidence: LateLoopTest.requestThatWaitsInItsSocketWhenTheLastResponseBeginsIsAnswered. The loop of a stopping VM is held up, the target answers, the caller sends its next request, and the loop goes on.

Ruled out: nothing can be done for a request that is sent between the head of the last response and its arrival at the caller; it must be sent anew on another connection (RFC 9112, 9.6).

Why it works: what has arrived is queued before the head is written, and a response with a request queued behind it isn't the last.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -245,8 +245,11 @@
         return HttpUtil.isKeepAlive(request) && !lastBeforeOverflow && !lastDuringStop();
     }
 
-    /** Returns whether this VM stops and no further request of the caller was read. */
+    /** Returns whether this VM stops and no further request of the caller has arrived. */
     private boolean lastDuringStop() {
+        if (shared.stopping() && queuedParts.isEmpty()) {
+            readArrived();
+        }
         return shared.stopping() && queuedParts.isEmpty();
     }
 
