Answer the requests behind one that the exit of a VM ends

What callers saw: requests that had been read whole behind a running one got no answer when the VM exited at the end of its grace time; the running one got 502 and the connection was closed.

Class of fault: requests in a queue are discarded with their head.

Evidence: StopTest.requestsThatWaitBehindARunningOneAreRejectedAtTheExit.

Not mended: if the response of the running request has begun, the exit resets the connection, so that it does not look complete, and those behind it get no answer.

Why it works: the queue is kept. Each request in it is refused as `stopping` by StopWindow, since the time of the exit has come; then what was not read whole is refused, and the connection is closed.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -349,17 +349,23 @@
 
     /**
      * Ends what the caller waits for, as this VM exits: a request that was not read whole is rejected, one that runs is
-     * given up.
+     * given up, those behind it are rejected.
      */
     void vmExits() {
-        if (state != State.CLOSING) {
-            readArrived();
+        processQueued();
+        if (state == State.CLOSING) {
+            return;
         }
+        readArrived();
         if (state == State.RUNNING) {
-            releaseQueued();
             exchange.vmExits();
-        } else if (state == State.BODY || state == State.IDLE && unfinished()) {
+        } else if (state == State.BODY || readingHead) {
             rejectUnread(ErrorKind.STOPPING, "this VM exits");
+        } else if (idle()) {
+            closeGracefully(CloseReason.STOPPING);
+        }
+        if (state == State.IDLE) {
+            context.executor().execute(this::vmExits);
         }
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerContext.java
@@ -152,7 +152,6 @@
 
     /** Ends all requests, as this VM exits; none is read from now on. */
     public void vmExits() {
-        closeIdle();
         Set.copyOf(connections).forEach(CallerConnection::vmExits);
     }
 }
