Count the times of a stop from the signal, not from when the loop acts on it

What callers saw: after SIGTERM to a VM whose loop was late, requests that came more than 2.7 s after the signal were accepted although their time went beyond the exit, and requests that were running were cut off by SIGKILL, since the exit came as late as the loop.

Class of fault: a bound given by the outside (grace time from the signal) is counted from our own later reaction.

Evidence, LateLoopTest with a loop held up for 2.7 s: a request sent at 2.7 s with 15 s to live was run (late_ms 2702, one run), and a VM with a running request had not logged `stopped` 8 s after the signal (one run). Both tests failed before, both pass now.

Ruled out: a lost start of the stop; `stopping` came right after the stall in both.

Why it works: the time at which the signal is handled is taken before the loop is asked, and is subtracted from both times. The listener still closes 2.7 s after the readiness page has turned unready, since callers notice that and not the signal, but not after the exit. A VM whose JVM itself doesn't run at the signal still counts from when its signal handler does.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -118,7 +117,8 @@
 
     /**
      * Stops gracefully: the readiness page turns unready, the partitions are handed over, new connections are refused
-     * once the load balancer has noticed, and requests that are read or run may finish within the grace period.
+     * once the load balancer has noticed, and requests that are read or run may finish within the grace period, which
+     * begins with this call.
      *
      * @return completes when all callers have their responses or the grace period is over
      */
@@ -135,25 +135,33 @@
     }
 
     private Completable serveRemainingRequests(final long requestedNanos) {
-        final Duration untilExit = settings.grace().minus(STOP_MARGIN);
+        final Duration late = Duration.ofNanos(timer.nanoTime() - requestedNanos);
+        final Duration untilExit =
+                notNegative(settings.grace().minus(STOP_MARGIN).minus(late));
         final long exitNanos = timer.nanoTime() + untilExit.toNanos();
         stopping = true;
         log.line("stopping")
                 .with("vm", settings.vm().value())
                 .with("running", callers.unfinishedConnections())
-                .with("late_ms", TimeUnit.NANOSECONDS.toMillis(timer.nanoTime() - requestedNanos))
+                .with("late_ms", late.toMillis())
                 .write();
-        core.beginStop(BALANCER_NOTICE_DELAY, untilExit);
+        core.beginStop(notNegative(BALANCER_NOTICE_DELAY.minus(late)), untilExit);
         callers.stop();
         final Completable requestsServed = timer.every(STOP_CHECK_PERIOD)
                 .doOnNext(tick -> callers.closeIdle())
                 .takeWhile(tick -> callers.unfinishedConnections() > 0 && timer.nanoTime() < exitNanos)
                 .ignoreElements();
-        return Completable.mergeArray(core.handOver(), timer.after(BALANCER_NOTICE_DELAY))
+        final Duration untilNotAccepting =
+                BALANCER_NOTICE_DELAY.compareTo(untilExit) < 0 ? BALANCER_NOTICE_DELAY : untilExit;
+        return Completable.mergeArray(core.handOver(), timer.after(untilNotAccepting))
                 .doOnComplete(callerListener::close)
                 .andThen(requestsServed);
     }
 
+    private static Duration notNegative(final Duration duration) {
+        return duration.isNegative() ? Duration.ZERO : duration;
+    }
+
     private void endUnfinishedRequests() {
         final long unfinished = callers.unfinishedConnections();
         if (unfinished > 0) {
