--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -245,8 +245,11 @@
         return HttpUtil.isKeepAlive(request) && !lastBeforeOverflow && !lastDuringStop();
     }
 
-    /** Returns whether this VM stops and no further request of the caller was read. */
+    /** Returns whether this VM stops and no further request of the caller has arrived. */
     private boolean lastDuringStop() {
+        if (shared.stopping() && queuedParts.isEmpty()) {
+            readArrived();
+        }
         return shared.stopping() && queuedParts.isEmpty();
     }
 
@@ -324,24 +327,50 @@
     }
 
     /**
-     * Closes the connection if the caller waits for nothing.
+     * Closes the connection if the caller waits for nothing, after what has arrived by now was read.
      */
     void closeIfIdle() {
-        if (state == State.IDLE && !unfinished()) {
-            closeGracefully(CloseReason.STOPPING);
+        closeIfIdle(CloseReason.STOPPING);
+    }
+
+    private void closeIfIdle(final CloseReason reason) {
+        if (!idle()) {
+            return;
         }
+        final Future<?> idleTimeout = timeout;
+        readArrived();
+        if (idle() && timeout == idleTimeout) {
+            closeGracefully(reason);
+        }
+    }
+
+    private boolean idle() {
+        return state == State.IDLE && !unfinished();
+    }
+
+    private void readArrived() {
+        Channels.readArrived(context.channel());
     }
 
     /**
      * Ends what the caller waits for, as this VM exits: a request that was not read whole is rejected, one that runs is
-     * given up.
+     * given up, those behind it are rejected.
      */
     void vmExits() {
+        processQueued();
+        if (state == State.CLOSING) {
+            return;
+        }
+        readArrived();
         if (state == State.RUNNING) {
-            releaseQueued();
             exchange.vmExits();
-        } else if (state == State.BODY || state == State.IDLE && unfinished()) {
+        } else if (state == State.BODY || readingHead) {
             rejectUnread(ErrorKind.STOPPING, "this VM exits");
+        } else if (idle()) {
+            closeGracefully(CloseReason.STOPPING);
+        }
+        if (state == State.IDLE) {
+            context.executor().execute(this::vmExits);
         }
     }
 
@@ -389,10 +418,15 @@
     }
 
     private void onTimeout() {
-        if (state == State.BODY || readingHead) {
+        if (idle()) {
+            closeIfIdle(CloseReason.IDLE);
+            return;
+        }
+        final Future<?> elapsed = timeout;
+        readArrived();
+        final boolean progressed = timeout != elapsed;
+        if (!progressed && (state == State.BODY || readingHead)) {
             rejectUnread(ErrorKind.SLOW_SENDER, "request timed out");
-        } else if (state == State.IDLE) {
-            closeGracefully(CloseReason.IDLE);
         }
     }
 
