Accept the connections that wait before a stop closes the listening socket

What callers saw: the connection was reset, without an answer, after a request had been sent on a new connection up to the time for which the loop was late; the system had accepted the connection and the VM had not. Class of fault: a close discards what is owed; the listening socket was closed as if its queue were empty. Evidence: LateLoopTest.requestOnAConnectionThatWaitsToBeAcceptedWhenAStopEndsAcceptingIsAnswered, with a loop held up before the close: "Connection reset" before, an answer now. Change: the waiting connections are accepted right before the close; their requests are answered or refused as on any open one.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerListener.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerListener.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.reactivex.rxjava3.core.Completable;
+import org.balsambank.gateway.loop.Channels;
 
 /**
  * The HTTP server for callers.
@@ -24,6 +25,7 @@
     private final EventLoopGroup group;
     private final CallerContext shared;
     private Channel server;
+    private long accepted;
 
     /**
      * Creates a server that does not listen yet.
@@ -53,6 +55,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel opened) {
+                        accepted++;
                         final CallerConnection connection = new CallerConnection(shared);
                         opened.pipeline()
                                 .addLast(
@@ -73,10 +76,19 @@
                 }));
     }
 
-    /** Stops accepting connections; open ones continue. */
+    /**
+     * Stops accepting connections; open ones continue. Those that the system has accepted for this VM are accepted
+     * first, since the system resets them when the socket closes.
+     */
     public void close() {
-        if (server != null) {
-            server.close();
+        if (server == null) {
+            return;
         }
+        long before;
+        do {
+            before = accepted;
+            Channels.readArrived(server);
+        } while (accepted > before);
+        server.close();
     }
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
@@ -22,11 +22,11 @@
     }
 
     /**
-     * Reads what has arrived on a socket by now, or a part of it, and passes it to the handlers. Between two reads of
-     * the event loop its tasks run, so a task that must not miss what has arrived reads first. Does nothing if the
-     * connection is closed or has no socket.
+     * Reads what has arrived on a socket by now, or a part of it, and passes it to the handlers; a listening socket
+     * accepts connections. Between two reads of the event loop its tasks run, so a task that must not miss what has
+     * arrived reads first. Does nothing if the socket is closed or the channel has none.
      *
-     * @param channel the connection; not being read by a caller of this method
+     * @param channel the connection or listener
      */
     public static void readArrived(final Channel channel) {
         if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
