Decide before the last chunk of a response whether its connection ends

Class of fault: what is decided after a message was sent can be changed by the reply to it.

Ruled out: to keep such a connection open until the close of idle ones.

Why it works: what arrived before the last chunk is answered; what a caller sends after it has read that chunk can't have arrived yet.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -183,8 +183,9 @@
             return;
         }
         finished = true;
+        final boolean keepOpen = keepAlive && connection.keepAlive(request);
         context.writeAndFlush(new DefaultLastHttpContent(chunk));
-        connection.responseWritten(keepAlive);
+        connection.responseWritten(keepOpen);
     }
 
     @Override
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -215,7 +215,7 @@
         }
         exchange = null;
         releaseBody();
-        if (!keepOpen || lastDuringStop()) {
+        if (!keepOpen) {
             closeGracefully(CloseReason.LAST_RESPONSE);
             return;
         }
