Begin a stop only once, however many signals come

What callers saw: after a second SIGTERM the VM accepted requests that could not end before its exit, which stayed where the first signal had put it. Such a request is run and then given up with 502, or cut if its response has begun.

Class of fault: an operation that is begun twice runs twice, with two sets of times.

Evidence: StopTest.furtherSignalDoesNotPostponeTheTimesOfAStop, with signals at 0 and 2.3 s and a request that is whole at 2.75 s and has 15 s to live. Failed before (one run: two lines `stopping`, the request was run and got 502), passes now: 503 and one line.

Ruled out: nothing else; the cause is plain from the two lines. That a platform sends SIGTERM twice was not seen.

Why it works: all calls of stop() return the stop that the first one began.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -24,7 +24,7 @@
 /**
  * The components of one serving VM, wired together.
  *
- * <p>Confined to the decision loop, except for the constructor.
+ * <p>Confined to the decision loop, except for the constructor and {@link #stop()}.
  */
 public final class ServingDaemon {
     private static final Duration BALANCER_NOTICE_DELAY = Duration.ofMillis(2_700);
@@ -45,6 +45,7 @@
     private final CallerListener callerListener;
     private final PageServer readyServer;
     private final PageServer metricsServer;
+    private Completable stop;
     private boolean stopping;
     private boolean loggedReady;
 
@@ -118,11 +119,18 @@
     /**
      * Stops gracefully: the readiness page turns unready, the partitions are handed over, new connections are refused
      * once the load balancer has noticed, and requests that are read or run may finish within the grace period, which
-     * begins with this call.
+     * begins with the first call; further calls return the same stop. Thread-safe.
      *
      * @return completes when all callers have their responses or the grace period is over
      */
-    public Completable stop() {
+    public synchronized Completable stop() {
+        if (stop == null) {
+            stop = newStop().cache();
+        }
+        return stop;
+    }
+
+    private Completable newStop() {
         final long requestedNanos = timer.nanoTime();
         return Completable.defer(() -> serveRemainingRequests(requestedNanos))
                 .andThen(Completable.fromAction(this::endUnfinishedRequests))
