Give up at the deadline a response of which nothing was passed on

Cause: a head that has arrived was taken for a response in progress, but the caller gets the head with the first bytes of the body; until then the VM still owes a final response. Change: the margin of 100 ms counts only once a part of the body was passed on. Evidence: RequestExecutionTest.finalResponseIsSentAtTheDeadlineAlthoughAHeadHasCome failed before (no abort 1 ms before the deadline, one run) and passes now; all 18 tests of the class pass, one run on a busy machine.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -75,6 +75,7 @@
     private long pacingMillis;
     private boolean mayHaveExecuted;
     private boolean responding;
+    private boolean partPassedOn;
     private boolean ended;
     private Optional<AdapterKey> missingAdapter = Optional.empty();
 
@@ -395,9 +396,12 @@
         return dependencies.residency().of(target).version(attributes.adapter().get());
     }
 
-    /** Gives the request up; a response in progress is left to its target, which ends it at the same deadline. */
+    /**
+     * Gives the request up; a response of which a part was passed on is left to its target, which ends it at the same
+     * deadline.
+     */
     private void deadlineExpired() {
-        if (responding) {
+        if (partPassedOn) {
             deadline = dependencies.timer().after(TARGET_END_MARGIN).subscribe(this::deadlineOverrun);
         } else {
             deadlineOverrun();
@@ -522,6 +526,7 @@
         @Override
         public void chunk() {
             final long now = dependencies.timer().nanoTime();
+            partPassedOn |= forwarded;
             if (++chunks == SURVIVED_CHUNKS && head.success()) {
                 crashGuard.targetResponded();
             }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/RequestExecutionTest.java
@@ -143,6 +143,17 @@
         assertEquals(0, caller.aborts);
     }
 
+    // Guards against a caller that gets its final response after its deadline, as a head without body had come.
+    @Test
+    void finalResponseIsSentAtTheDeadlineAlthoughAHeadHasCome() {
+        final FakeCaller caller = call(STREAM);
+        fleet.advance(100);
+        fleet.lastAttempt().sendHead();
+        fleet.advance(DEADLINE_MILLIS - 101);
+        assertEquals(1, caller.aborts);
+        assertTrue(fleet.lastAttempt().cancelled);
+    }
+
     @Test
     void responseThatItsTargetDoesNotEndIsBrokenOffSoonAfterTheDeadline() {
         final FakeCaller caller = call(UNSAFE);
