Start a request of a stopping VM after all that was read with it

What callers saw: two requests that came in one segment to a stopping VM which refuses the first got one 503 with "connection: close"; the second was discarded without an answer. Cause: a request is refused inside the read that completed it. What was read behind it is still in the decoder then, so no further request was known, and reading the socket again does not help, since its bytes are out of the socket. Class of fault: "no further request was passed on by the decoder" was taken for "none has arrived". Change: while the VM stops, a request starts in a task of its own, after the decoder has passed on all that was read.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -75,10 +75,12 @@
     }
 
     /**
-     * Starts to process the request.
+     * Starts to process the request, unless it has ended.
      */
     void start() {
-        execution.start();
+        if (!finished) {
+            execution.start();
+        }
     }
 
     /**
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -201,7 +201,12 @@
         stopTimeout();
         state = State.RUNNING;
         exchange = new CallExchange(shared, this, context, head, body.bytes(), arrivedNanos);
-        exchange.start();
+        if (shared.stopping()) {
+            // A rejection must know whether more requests were read; the decoder passes them on after this one.
+            context.executor().execute(exchange::start);
+        } else {
+            exchange.start();
+        }
     }
 
     /**
