Daemon: let no idle time-out cut a pipelined request

What callers saw: LOST. Of three requests sent at once on one connection the first was answered; the connection was closed without an answer while the second ran, when that took longer than the idle time-out (75 s by default, 400 ms in the test).

Cause: Vert.x hands over a pipelined request before it reports the end of the response to the one before it. The arrival stopped the timer of the connection, the end that was reported after it started the timer anew. Class of fault: two notices whose order was assumed.

Change: a connection counts its requests in progress; the idle time begins at none.

Ruled out by tests that passed on the code before too: an idle time-out during a response that a slow reader has not taken over (Vert.x closes an idle connection after its writes), and the same after a request that asks to close the connection.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ConnectionTimeouts.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ConnectionTimeouts.java
@@ -16,7 +16,7 @@
     private final Vertx vertx;
     private final long firstMillis;
     private final long idleMillis;
-    private final Map<HttpConnection, Long> timers = new HashMap<>();
+    private final Map<HttpConnection, State> states = new HashMap<>();
 
     /**
      * Creates an instance without connections.
@@ -31,23 +31,16 @@
         this.idleMillis = idleMillis;
     }
 
-    /**
-     * Starts the idle timer after the end of a response.
-     *
-     * @param connection the connection that carried the response
-     */
-    void responseEnded(final HttpConnection connection) {
-        startTimer(connection, idleMillis);
-    }
-
     /**
      * Starts the timer of a new connection.
      *
      * @param connection the new connection
      */
     void opened(final HttpConnection connection) {
-        connection.closeHandler(ignored -> cancelTimer(connection));
-        startTimer(connection, firstMillis);
+        final State state = new State(connection);
+        states.put(connection, state);
+        connection.closeHandler(ignored -> closed(connection));
+        state.startTimer(firstMillis);
     }
 
     /**
@@ -56,18 +49,63 @@
      * @param connection the connection that carries the request
      */
     void requestArrived(final HttpConnection connection) {
-        cancelTimer(connection);
+        final State state = states.get(connection);
+        if (state != null) {
+            state.requestArrived();
+        }
+    }
+
+    /**
+     * Starts the idle timer after the end of a response, unless the next request has already arrived.
+     *
+     * @param connection the connection that carried the response
+     */
+    void responseEnded(final HttpConnection connection) {
+        final State state = states.get(connection);
+        if (state != null) {
+            state.responseEnded();
+        }
     }
 
-    private void startTimer(final HttpConnection connection, final long millis) {
-        cancelTimer(connection);
-        timers.put(connection, vertx.setTimer(millis, id -> connection.close()));
+    private void closed(final HttpConnection connection) {
+        states.remove(connection).cancelTimer();
     }
 
-    private void cancelTimer(final HttpConnection connection) {
-        final Long timer = timers.remove(connection);
-        if (timer != null) {
-            vertx.cancelTimer(timer);
+    /** The requests and the timer of one open connection. Confined to the decision loop. */
+    private final class State {
+        private static final long NO_TIMER = -1;
+
+        private final HttpConnection connection;
+        private int inProgress;
+        private long timer = NO_TIMER;
+
+        State(final HttpConnection connection) {
+            this.connection = connection;
+        }
+
+        /** A pipelined request arrives before the end of the response to the one before it is reported. */
+        void requestArrived() {
+            inProgress++;
+            cancelTimer();
+        }
+
+        void responseEnded() {
+            inProgress--;
+            if (inProgress == 0) {
+                startTimer(idleMillis);
+            }
+        }
+
+        void startTimer(final long millis) {
+            cancelTimer();
+            timer = vertx.setTimer(millis, id -> connection.close());
+        }
+
+        void cancelTimer() {
+            if (timer != NO_TIMER) {
+                vertx.cancelTimer(timer);
+                timer = NO_TIMER;
+            }
         }
     }
 }
