Daemon: read what waits in the sockets before a time-out takes effect

What callers saw: LOST. While the loop was held up (in the test by a handler that takes twice the time-out), a request was sent in time on an idle connection. The connection was closed without an answer. A body whose last byte had arrived in time was refused as slow_sender in the same way.

Cause: after a hold-up in its reading, the loop runs the timers that are due before it reads its sockets again. Class of fault: a time-out that is decided on what was read, not on what has arrived.

Change: a time-out lets the loop read once more (ReadTurn) and takes effect only if nothing arrived. What is sent while the connection closes is not covered; the idle time-out stays longer than that of the callers (CallerLimits).

Evidence: CallerServerIdleTest.lateLoopAnswersARequestThatWaitsOnAnIdle- Connection (0 of 1 answers) and lateLoopAcceptsABodyThatWaitsInTheSocket (refused) failed before and pass now.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/BodyReader.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/BodyReader.java
@@ -45,8 +45,10 @@
         final Buffer body = Buffer.buffer();
         final long timer = vertx.setTimer(
                 timeoutMillis,
-                id -> emitter.tryOnError(new BalsambankException(
-                        ErrorKind.SLOW_SENDER, "the body did not arrive within " + timeoutMillis + " ms")));
+                id -> ReadTurn.then(
+                        vertx,
+                        () -> emitter.tryOnError(new BalsambankException(
+                                ErrorKind.SLOW_SENDER, "the body did not arrive within " + timeoutMillis + " ms"))));
         emitter.setCancellable(() -> vertx.cancelTimer(timer));
         request.exceptionHandler(error -> emitter.tryOnError(
                 new BalsambankException(ErrorKind.MALFORMED_REQUEST, "the body did not arrive whole")));
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ConnectionTimeouts.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ConnectionTimeouts.java
@@ -9,7 +9,8 @@
 /**
  * Closes connections on which the next request does not arrive in time.
  *
- * <p>Invariant: a connection has a timer only while no request is in progress on it. Confined to the decision
+ * <p>Invariants: a connection has a timer only while no request is in progress on it; a request that waits in the
+ * socket when the time is over is read. Confined to the decision
  * loop.
  */
 final class ConnectionTimeouts {
@@ -98,7 +99,7 @@
 
         void startTimer(final long millis) {
             cancelTimer();
-            timer = vertx.setTimer(millis, id -> connection.close());
+            timer = vertx.setTimer(millis, id -> timer = ReadTurn.then(vertx, connection::close));
         }
 
         void cancelTimer() {
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerIdleTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerIdleTest.java
@@ -4,10 +4,13 @@
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.reactivex.rxjava3.core.Flowable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 /**
  * Tests over TCP connections that neither the idle time-out nor a close on demand loses a request or cuts a response.
  */
@@ -48,6 +51,46 @@
         }
     }
 
+    // Guards against LOST: a late loop closed an idle connection although its next request waited in the socket.
+    @Test
+    void lateLoopAnswersARequestThatWaitsOnAnIdleConnection() throws Exception {
+        fixture.responses.put("/short", Flowable.just(CallerServerFixture.HEAD, CallerServerFixture.END));
+        fixture.responses.put("/late", Flowable.defer(() -> {
+            Thread.sleep(2 * CallerServerFixture.IDLE_TIMEOUT.toMillis());
+            return Flowable.just(CallerServerFixture.HEAD, CallerServerFixture.END);
+        }));
+        try (Socket idle = fixture.connect();
+                Socket other = fixture.connect()) {
+            CallerServerFixture.send(idle, CallerServerFixture.request("/short", ""));
+            CallerServerFixture.assertAnswers(1, idle);
+            Thread.sleep(CallerServerFixture.IDLE_TIMEOUT.toMillis() / 2);
+            CallerServerFixture.send(other, CallerServerFixture.request("/late", ""));
+            Thread.sleep(CallerServerFixture.IDLE_TIMEOUT.toMillis() / 4);
+            CallerServerFixture.send(idle, CallerServerFixture.request("/short", ""));
+            CallerServerFixture.assertAnswers(1, idle);
+        }
+    }
+
+    // Guards against LOST: a late loop took a body that waited in the socket for one that did not arrive in time.
+    @Test
+    void lateLoopAcceptsABodyThatWaitsInTheSocket() throws Exception {
+        fixture.responses.put("/short", Flowable.just(CallerServerFixture.HEAD, CallerServerFixture.END));
+        fixture.responses.put("/late", Flowable.defer(() -> {
+            Thread.sleep(2 * CallerServerFixture.SEND_TIMEOUT.toMillis());
+            return Flowable.just(CallerServerFixture.HEAD, CallerServerFixture.END);
+        }));
+        final String request = CallerServerFixture.request("/short", "");
+        try (Socket sender = fixture.connect();
+                Socket other = fixture.connect()) {
+            CallerServerFixture.send(sender, request.substring(0, request.length() - 1));
+            Thread.sleep(CallerServerFixture.SEND_TIMEOUT.toMillis() / 4);
+            CallerServerFixture.send(other, CallerServerFixture.request("/late", ""));
+            Thread.sleep(CallerServerFixture.SEND_TIMEOUT.toMillis() / 4);
+            CallerServerFixture.send(sender, request.substring(request.length() - 1));
+            assertTrue(CallerServerFixture.assertAnswers(1, sender).startsWith("HTTP/1.1 200"));
+        }
+    }
+
     // Guards against LOST: the idle time-out closed a connection while its second, pipelined request ran.
     @Test
     void idleTimeoutDoesNotCutAPipelinedRequest() throws Exception {
