Daemon: let a stop wait for requests that are being read or wait behind others

A request whose last byte came after the last running one had ended in a stop was not answered before the exit; nor were requests that waited behind a running one on its connection.

Cause: a stop waited for the requests that the pipeline had taken on (InFlightCounter), not for those whose heads had been read, and the loop went on reading after the wait had ended.

Change: CallerServer counts requests from their heads on. At the end a stop waits until none is open and none waits in a socket, then closes the server in the same turn, so that nothing is read any more that can't be answered. Requests that become complete after the pipeline stopped get 503 stopping as before; none of them is run. A head that was read in part is not waited for.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
@@ -168,7 +168,7 @@
      * Stops the VM gracefully: waits until the load balancer has noticed that it is not ready, hands over the
      * partitions, and lets requests in flight finish.
      *
-     * @return completes when the last request has ended
+     * @return completes when the last response has ended
      */
     public Completable stop() {
         return Completable.defer(() -> {
@@ -179,6 +179,7 @@
                             Completable.defer(() -> ownership.stop(settings.leaseTimeToLive())),
                             Completable.defer(entryRequests::stop).doOnComplete(rateGate::returnAllShares)))
                     .andThen(Completable.defer(ownerRequests::stop))
+                    .andThen(Completable.defer(callers::stop))
                     .doOnComplete(() -> LOGGER.atInfo().log("event=vm_stopped vm=%s", settings.vm()));
         });
     }
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
@@ -10,7 +10,6 @@
 import io.opentelemetry.api.trace.Span;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -44,6 +43,7 @@
     private final MeterRegistry registry;
     private final BodyReader bodies;
     private final ConnectionTimeouts connections;
+    private final OpenRequests open;
     private final HttpServer server;
 
     /**
@@ -71,6 +71,7 @@
         bodies = new BodyReader(vertx, limits.bodyBytes(), limits.sendTimeout().toMillis());
         connections = new ConnectionTimeouts(
                 vertx, limits.sendTimeout().toMillis(), limits.idleTimeout().toMillis());
+        open = new OpenRequests(vertx);
         server = vertx.createHttpServer(new HttpServerOptions()
                         .setMaxHeaderSize(limits.headerBytes())
                         .setMaxInitialLineLength(limits.headerBytes())
@@ -95,15 +96,19 @@
     }
 
     /**
-     * Closes the server and its connections.
+     * Waits until the requests that callers have sent are answered, then closes the server and its connections. The
+     * request handler must end its requests by itself.
      *
-     * @return completes when all connections are closed
+     * @return completes when all responses have ended and all connections are closed
      */
-    public Future<Void> close() {
-        return server.close();
+    public Completable stop() {
+        return open.stop().andThen(Completable.create(emitter -> server.close()
+                .onSuccess(ignored -> emitter.onComplete())
+                .onFailure(emitter::tryOnError)));
     }
 
     private void handle(final HttpServerRequest request) {
+        open.enter();
         connections.requestArrived(request.connection());
         request.response().endHandler(ignored -> connections.responseEnded(request.connection()));
         final String parent =
@@ -114,8 +119,10 @@
         response.putHeader(TRACE_ID_HEADER, span.getSpanContext().getTraceId());
         response.putHeader(REQUEST_ID_HEADER, id.value());
         final Timer.Sample sample = Timer.start(registry);
-        final ResponseWriter writer =
-                new ResponseWriter(response, span, outcome -> sample.stop(registry.timer(METRIC, "outcome", outcome)));
+        final ResponseWriter writer = new ResponseWriter(response, span, outcome -> {
+            sample.stop(registry.timer(METRIC, "outcome", outcome));
+            open.leave();
+        });
         bodies.read(request)
                 .subscribe(
                         body -> Flowable.defer(() -> run(id, request, body, span))
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerFixture.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerFixture.java
@@ -146,6 +146,17 @@
         return read;
     }
 
+    /** Stops the server. When the stop has ended the loop does nothing more, like that of a process that has exited. */
+    CountDownLatch stop() {
+        final CountDownLatch stopped = new CountDownLatch(1);
+        onLoop(Completable.defer(inFlight::stop).andThen(Completable.defer(server::stop)))
+                .subscribe(() -> {
+                    stopped.countDown();
+                    testEnded.await();
+                });
+        return stopped;
+    }
+
     /** Returns after the loop has read what other callers had sent before. */
     void roundTrip() throws IOException {
         responses.put("/round-trip", Flowable.just(HEAD, END));
