Daemon: let a stop wait until its last responses are written

What callers saw: LOST.

Cause: a response counted as ended when its last bytes were put into the buffers of Vert.x.

Change: a request is open until the system has taken over its response or its connection is lost. The time limit of the stop (stop.timeoutMillis) bounds the wait, as it does for running requests.

GracefulClose of balsambank-gateway is not reused: it works on a channel of Netty, and Vert.x keeps writes in a queue of its own before the channel.

Evidence: CallerServerStopTest.stopWaitsUntilTheLastResponseIsWritten failed before and passes now; stopDoesNotWaitForLostConnections holds for callers that leave with bytes unwritten and for responses that are reset.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
@@ -168,7 +168,7 @@
      * Stops the VM gracefully: waits until the load balancer has noticed that it is not ready, hands over the
      * partitions, and lets requests in flight finish.
      *
-     * @return completes when the last response has ended
+     * @return completes when the last response is written
      */
     public Completable stop() {
         return Completable.defer(() -> {
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
@@ -99,7 +99,7 @@
      * Waits until the requests that callers have sent are answered, then closes the server and its connections. The
      * request handler must end its requests by itself.
      *
-     * @return completes when all responses have ended and all connections are closed
+     * @return completes when all responses are written and all connections are closed
      */
     public Completable stop() {
         return open.stop().andThen(Completable.create(emitter -> server.close()
@@ -119,10 +119,8 @@
         response.putHeader(TRACE_ID_HEADER, span.getSpanContext().getTraceId());
         response.putHeader(REQUEST_ID_HEADER, id.value());
         final Timer.Sample sample = Timer.start(registry);
-        final ResponseWriter writer = new ResponseWriter(response, span, outcome -> {
-            sample.stop(registry.timer(METRIC, "outcome", outcome));
-            open.leave();
-        });
+        final ResponseWriter writer = new ResponseWriter(
+                response, span, outcome -> sample.stop(registry.timer(METRIC, "outcome", outcome)), open::leave);
         bodies.read(request)
                 .subscribe(
                         body -> Flowable.defer(() -> run(id, request, body, span))
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/OpenRequests.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/OpenRequests.java
@@ -7,7 +7,7 @@
 import io.vertx.core.Vertx;
 
 /**
- * Counts the requests of callers from the arrival of their heads until their responses have ended, so that a planned
+ * Counts the requests of callers from the arrival of their heads until their responses are written, so that a planned
  * stop can wait for them.
  *
  * <p>Confined to the decision loop.
@@ -34,7 +34,7 @@
         count++;
     }
 
-    /** Counts a request whose response has ended, or whose connection is lost. */
+    /** Counts a request whose response is written, or whose connection is lost. */
     void leave() {
         count--;
         completeIfDrained();
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ResponseWriter.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/ResponseWriter.java
@@ -29,6 +29,7 @@
     private final HttpServerResponse response;
     private final Span span;
     private final Consumer<String> onEnd;
+    private final Runnable onWritten;
     private Subscription subscription;
     private boolean headWritten;
     private boolean eventStream;
@@ -40,11 +41,18 @@
      * @param response the HTTP response
      * @param span the span of the request
      * @param onEnd called once with the outcome, the value of a metric tag
+     * @param onWritten called once when the system has taken over all bytes of the response, or none will be written
+     *     any more
      */
-    ResponseWriter(final HttpServerResponse response, final Span span, final Consumer<String> onEnd) {
+    ResponseWriter(
+            final HttpServerResponse response,
+            final Span span,
+            final Consumer<String> onEnd,
+            final Runnable onWritten) {
         this.response = response;
         this.span = span;
         this.onEnd = onEnd;
+        this.onWritten = onWritten;
     }
 
     @Override
@@ -83,9 +91,9 @@
         }
         finish(cause.kind().code());
         if (eventStream) {
-            response.end("data: " + ErrorBody.json(cause) + "\n\n");
+            written(response.end("data: " + ErrorBody.json(cause) + "\n\n"));
         } else {
-            response.reset();
+            written(response.reset());
         }
     }
 
@@ -95,7 +103,7 @@
             return;
         }
         finish("ok");
-        response.end();
+        written(response.end());
     }
 
     /**
@@ -107,7 +115,7 @@
     Future<Void> writeError(final Throwable error) {
         final BalsambankException cause = toBalsambankException(error);
         finish(cause.kind().code());
-        return writeError(response, cause);
+        return written(writeError(response, cause));
     }
 
     /**
@@ -149,9 +157,14 @@
         if (!finished) {
             finish("caller_gone");
             subscription.cancel();
+            onWritten.run();
         }
     }
 
+    private Future<Void> written(final Future<Void> writing) {
+        return writing.onComplete(ignored -> onWritten.run());
+    }
+
     private void finish(final String outcome) {
         finished = true;
         span.setAttribute("outcome", outcome);
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerStopTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerStopTest.java
@@ -31,6 +31,19 @@
         fixture.close();
     }
 
+    // Guards against LOST: a stop ended before the last responses were written.
+    @Test
+    void stopWaitsUntilTheLastResponseIsWritten() throws Exception {
+        final AtomicBoolean ended = fixture.longResponse();
+        try (Socket socket = fixture.connect()) {
+            CallerServerFixture.send(socket, CallerServerFixture.request("/long", ""));
+            final StringBuilder read = CallerServerFixture.readUntil(ended, socket);
+            final CountDownLatch stopped = fixture.stop();
+            stopped.await(2 * CallerServerFixture.IDLE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            CallerServerFixture.assertCompleteAfterRest(read, socket);
+        }
+    }
+
     // Guards against LOST: a stop ended while a request was being read, which got no answer.
     @Test
     void stopAnswersARequestThatIsBeingRead() throws Exception {
