Daemon: let a stop wait until the frames to other VMs are written

What callers could see: a stream whose target belongs to a VM that stops ends early, as peer_lost or cut off, although the target had ended it.

Cause: the VM counted a relayed attempt as ended when its last frame was handed to the network thread, and could exit before the thread had written it. Class of fault: a hand-over was taken for its completion.

Change: NettyPeerTransport.flush() waits until the system has taken over the frames sent to other VMs, at most the silence time-out, after which a peer that reads nothing counts as lost in any case. A stop waits for it after the last attempt.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/Daemon.java
@@ -179,6 +179,7 @@
                             Completable.defer(() -> ownership.stop(settings.leaseTimeToLive())),
                             Completable.defer(entryRequests::stop).doOnComplete(rateGate::returnAllShares)))
                     .andThen(Completable.defer(ownerRequests::stop))
+                    .andThen(Completable.defer(clients.peers()::flush))
                     .andThen(Completable.defer(callers::stop))
                     .doOnComplete(() -> LOGGER.atInfo().log("event=vm_stopped vm=%s", settings.vm()));
         });
--- a/balsambank-peer/src/main/java/org/balsambank/peer/InboundLink.java
+++ b/balsambank-peer/src/main/java/org/balsambank/peer/InboundLink.java
@@ -5,9 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import com.google.protobuf.Message;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.balsambank.core.error.BalsambankException;
@@ -38,6 +41,7 @@
     private final Map<Integer, HandlerRegistration<?, ?>> handlers;
     private final Map<Long, InboundCall> calls = new HashMap<>();
     private final TimerService timer;
+    private final Consumer<InboundLink> whenClosed;
     private FrameChannel frames;
     private Disposable helloTimeout;
     private VmId peer;
@@ -51,6 +55,7 @@
      * @param timer the clock and scheduler
      * @param metrics the link metrics
      * @param handlers the handlers by method number
+     * @param whenClosed called when the connection is closed
      */
     InboundLink(
             final VmId self,
@@ -58,13 +63,15 @@
             final PeerSettings settings,
             final TimerService timer,
             final PeerMetrics metrics,
-            final Map<Integer, HandlerRegistration<?, ?>> handlers) {
+            final Map<Integer, HandlerRegistration<?, ?>> handlers,
+            final Consumer<InboundLink> whenClosed) {
         this.self = self;
         this.channel = channel;
         this.settings = settings;
         this.metrics = metrics;
         this.handlers = handlers;
         this.timer = timer;
+        this.whenClosed = whenClosed;
     }
 
     /** Starts the hello timeout. Must run before the first frame. */
@@ -92,6 +99,7 @@
 
     @Override
     public void onClosed() {
+        whenClosed.accept(this);
         helloTimeout.dispose();
         frames.close();
         final List<InboundCall> open = new ArrayList<>(calls.values());
@@ -99,6 +107,16 @@
         open.forEach(InboundCall::dispose);
     }
 
+    /**
+     * Waits until the frames sent so far are written.
+     *
+     * @return completes, on the network thread, when the system has taken over all of them or the connection is lost
+     */
+    Completable flush() {
+        return Completable.create(
+                emitter -> channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ignored -> emitter.onComplete()));
+    }
+
     private void handleHello(final PeerHello hello) {
         final boolean trusted = MessageDigest.isEqual(
                 hello.getFleetToken().toByteArray(), settings.fleetToken().toByteArray());
--- a/balsambank-peer/src/main/java/org/balsambank/peer/NettyPeerTransport.java
+++ b/balsambank-peer/src/main/java/org/balsambank/peer/NettyPeerTransport.java
@@ -3,10 +3,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.NoSuchElementException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 
@@ -27,6 +29,7 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import org.balsambank.core.error.BalsambankException;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.id.VmId;
@@ -57,6 +60,7 @@
     private final boolean ownsNetwork;
     private final Map<Integer, HandlerRegistration<?, ?>> handlers = new HashMap<>();
     private final Map<VmId, OutboundLink> links = new HashMap<>();
+    private final Set<InboundLink> inbound = new HashSet<>();
     private Channel server;
 
     /**
@@ -153,6 +157,17 @@
                 })));
     }
 
+    /**
+     * Waits until the responses that this VM has sent to other VMs are written.
+     *
+     * @return completes when the system has taken over all frames, at the latest after the silence timeout
+     */
+    public Completable flush() {
+        return Completable.merge(inbound.stream().map(InboundLink::flush).toList())
+                .observeOn(Schedulers.from(loop))
+                .timeout(settings.silence().toNanos(), TimeUnit.NANOSECONDS, timer.scheduler(), Completable.complete());
+    }
+
     /**
      * Closes all links.
      *
@@ -256,8 +271,11 @@
     }
 
     private FrameListener createInboundLink(final Channel channel) {
-        final InboundLink link = new InboundLink(self, channel, settings, timer, metrics, handlers);
-        loop.execute(link::open);
+        final InboundLink link = new InboundLink(self, channel, settings, timer, metrics, handlers, inbound::remove);
+        loop.execute(() -> {
+            inbound.add(link);
+            link.open();
+        });
         return link;
     }
 
--- a/balsambank-peer/src/test/java/org/balsambank/peer/PeerFixture.java
+++ b/balsambank-peer/src/test/java/org/balsambank/peer/PeerFixture.java
@@ -7,6 +7,7 @@
 
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoopGroup;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
@@ -51,6 +52,17 @@
         return new NettyPeerTransport(self, addresses, own, SchedulerTimerService.ofVirtual(clock), executor, registry);
     }
 
+    NettyPeerTransport peer(final VmId self, final EventLoopGroup network) {
+        return new NettyPeerTransport(
+                self,
+                addresses,
+                settings,
+                SchedulerTimerService.ofVirtual(clock),
+                executor,
+                network,
+                new SimpleMeterRegistry());
+    }
+
     void onLoop(final Runnable action) {
         get(Completable.fromRunnable(action).toSingleDefault(true));
     }
