Read what has arrived of a response before the exit of a VM ends its request

What callers saw: a request whose whole response waited in the socket of its target when a late loop acted on the time of the exit got 502. By reading, a response of which a part was passed on would be broken off in the same way; no test shows that. Class of fault: a belief that is older than the event it is compared with, here "the target is still at work". Change: before the exit gives a request up, the connection of its target is read once more, unless the caller is slower than the target. Evidence: LateLoopTest.responseThatWaitsInItsSocketAtTheExitIsDelivered failed before (502) and passes now, in two runs. A first form of the test set its second stall close to the exit and failed once with the change too, on a loop that was 1.3 s late by itself; this form holds up the loop from the middle of the stop until after the time of the exit.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallExchange.java
@@ -92,9 +92,12 @@
     }
 
     /**
-     * Ends the exchange because this VM exits.
+     * Ends the exchange because this VM exits, after what has arrived of the response by now was read.
      */
     void vmExits() {
+        if (attempt != null) {
+            attempt.readArrived();
+        }
         execution.vmExits();
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -323,6 +323,13 @@
         }
     }
 
+    /** Reads what has arrived of the response by now, or a part of it, unless the caller is slower than the target. */
+    void readArrived() {
+        if (connection != null && !ended && writable()) {
+            connection.readArrived();
+        }
+    }
+
     /** Resumes reading after the caller's connection became writable again. */
     void resume() {
         if (connection != null && !ended) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -124,6 +124,11 @@
         return channel;
     }
 
+    /** Reads what has arrived by now, or a part of it. */
+    void readArrived() {
+        Channels.readArrived(channel);
+    }
+
     /**
      * Resumes reading.
      */
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
@@ -106,6 +106,11 @@
             return attempt.cancel();
         }
 
+        /** Reads what has arrived of the response by now, or a part of it. */
+        public void readArrived() {
+            attempt.readArrived();
+        }
+
         /** Resumes reading after the caller's connection became writable again. */
         public void resume() {
             attempt.resume();
