--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -345,15 +345,20 @@
         final Future<?> idleTimeout = timeout;
         readArrived();
         if (idle() && timeout == idleTimeout) {
-            closeUnread(reason);
+            closeIdle(reason);
         }
     }
 
     /**
-     * Closes the connection and reads nothing any more. The caller may learn of it late and send a request meanwhile;
-     * the system resets the connection then, and the caller knows that the request was not read.
+     * Closes the connection and reads nothing any more, unless its last response is still being written. The caller may
+     * learn of the close late and send a request meanwhile; the system resets the connection then, and the caller knows
+     * that the request was not read.
      */
-    private void closeUnread(final CloseReason reason) {
+    private void closeIdle(final CloseReason reason) {
+        if (Channels.unwrittenBytes(context.channel()) > 0) {
+            closeGracefully(reason);
+            return;
+        }
         closing(reason);
         stopTimeout();
         context.close();
@@ -382,7 +387,7 @@
         } else if (state == State.BODY || readingHead) {
             rejectUnread(ErrorKind.STOPPING, "this VM exits");
         } else if (idle()) {
-            closeUnread(CloseReason.STOPPING);
+            closeIdle(CloseReason.STOPPING);
         }
         if (state == State.IDLE) {
             context.executor().execute(this::vmExits);
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/GracefulClose.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/GracefulClose.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import org.balsambank.gateway.loop.Channels;
 
@@ -42,7 +41,7 @@
     void start() {
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) done -> outputFlushed());
         if (!flushed) {
-            closeIfStalledAt(unwrittenBytes());
+            closeIfStalledAt(Channels.unwrittenBytes(channel));
         }
     }
 
@@ -57,7 +56,7 @@
     private void closeIfStalledAt(final long unwrittenBefore) {
         schedule(
                 () -> {
-                    final long unwritten = unwrittenBytes();
+                    final long unwritten = Channels.unwrittenBytes(channel);
                     if (!flushed && unwritten < unwrittenBefore) {
                         closeIfStalledAt(unwritten);
                     } else if (!flushed) {
@@ -67,12 +66,6 @@
                 stall);
     }
 
-    /** Returns the bytes that the system has not taken over yet. */
-    private long unwrittenBytes() {
-        final ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
-    }
-
     private void schedule(final Runnable task, final Duration delay) {
         channel.eventLoop().schedule(task, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/loop/Channels.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 
 /** Operations on channels. Stateless; confined to the decision loop. */
@@ -33,4 +34,15 @@
             socket.read();
         }
     }
+
+    /**
+     * Returns how much of what was written to a channel the system has not taken over yet.
+     *
+     * @param channel the channel
+     * @return the number of bytes, 0 if the channel is closed
+     */
+    public static long unwrittenBytes(final Channel channel) {
+        final ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    }
 }
