Take back the change of the exchange of digests

Lead: a parent that failed one call stays skipped although its next call succeeds; if all before it are unreachable, a VM acts as the root for a while.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -1,9 +1,7 @@
 package org.balsambank.core.serving.fleet;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,8 +38,7 @@
  *
  * <p>A VM calls its parent several times a second with a digest of the changes on its side of the edge; the response
  * contains the changes on the other side. The number of messages per VM therefore does not grow with the fleet. A
- * parent that does not respond is skipped for a while. A VM keeps exchanging digests with its parent until the next one
- * has responded, so that a VM that cannot be reached costs no reports.
+ * parent that does not respond is skipped for a while; its last reports remain in use until the next parent responds.
  *
  * <p>Invariant: state received over an edge is never sent back over the same edge. Confined to the decision loop.
  */
@@ -72,9 +69,9 @@
     private final Map<VmId, Long> skippedSince = new HashMap<>();
     private final Map<TeamId, Long> recordedUnits = new HashMap<>();
     private Optional<VmId> parent = Optional.empty();
-    private Optional<TreeEdge> candidate = Optional.empty();
-    private Optional<TreeEdge> called = Optional.empty();
+    private Optional<VmId> formerParent = Optional.empty();
     private boolean domainHead;
+    private boolean calling;
     private boolean idle;
     private long lastCallNanos;
 
@@ -140,15 +137,10 @@
         dropSilentEdges();
         recordLocalChanges();
         chooseParent();
-        final Optional<VmId> upstream = parent.or(() -> candidate.map(TreeEdge::other));
-        domainHead = upstream.isPresent() && tree.isDomainHead(members.others(), upstream.get());
-        reader.readsStore(upstream.isEmpty() || domainHead);
-        parent.map(edges::get).ifPresent(this::callIfDue);
-    }
-
-    private void callIfDue(final TreeEdge edge) {
-        if (!called.equals(Optional.of(edge)) && timer.nanoTime() - lastCallNanos >= interval()) {
-            call(edge);
+        domainHead = parent.isPresent() && tree.isDomainHead(members.others(), parent.get());
+        reader.readsStore(parent.isEmpty() || domainHead);
+        if (parent.isPresent() && !calling && timer.nanoTime() - lastCallNanos >= interval()) {
+            call(edges.get(parent.get()));
         }
     }
 
@@ -156,9 +148,6 @@
      * Returns the delay until the next step. It is short while a digest is in flight, as the parent may have failed.
      */
     private Duration delayUntilNextStep() {
-        if (candidate.isPresent()) {
-            return WAIT_INTERVAL;
-        }
         if (parent.isEmpty()) {
             return ROOT_INTERVAL;
         }
@@ -174,62 +163,36 @@
     }
 
     private void chooseParent() {
-        if (candidate.isPresent()) {
-            return;
-        }
-        if (parent.isEmpty() || !skippedSince.containsKey(parent.get())) {
-            endSkips();
-        }
-        final Optional<VmId> preferred = tree.parent(members.others(), vm -> !skippedSince.containsKey(vm));
-        if (preferred.isEmpty()) {
-            parent = preferred;
-        } else if (!preferred.equals(parent)) {
-            callCandidate(preferred.get());
-        }
-    }
-
-    private void endSkips() {
         final long now = timer.nanoTime();
         skippedSince.values().removeIf(since -> now - since > SKIP_NANOS);
-    }
-
-    /** Calls a VM that may become the parent. */
-    private void callCandidate(final VmId vm) {
-        final long callNanos = timer.nanoTime();
-        final TreeEdge edge = newEdge(vm);
-        candidate = Optional.of(edge);
-        peers.call(vm, FleetMethods.DIGEST, digest(edge), TIMEOUT)
-                .subscribe(
-                        response -> {
-                            candidate = Optional.empty();
-                            attach(edge, callNanos);
-                            receive(edge, response);
-                            edge.resendAll();
-                        },
-                        error -> {
-                            candidate = Optional.empty();
-                            skippedSince.put(vm, timer.nanoTime());
-                        });
-    }
-
-    private void attach(final TreeEdge edge, final long callNanos) {
-        dropEdgeTo(edge.other());
-        parent.map(edges::get).ifPresent(previous -> {
-            previous.unacknowledgedUnits().forEach(edge::admitted);
-            dropEdge(previous);
+        final Optional<VmId> preferred = tree.parent(members.others(), vm -> !skippedSince.containsKey(vm));
+        if (calling || preferred.equals(parent)) {
+            return;
+        }
+        final Optional<TreeEdge> previousEdge = parent.map(edges::get);
+        final Optional<VmId> answeredLast =
+                previousEdge.filter(TreeEdge::hasReceived).isPresent() ? parent : formerParent;
+        previousEdge.filter(edge -> !edge.hasReceived()).ifPresent(this::dropEdge);
+        formerParent.filter(vm -> !answeredLast.equals(formerParent)).ifPresent(vm -> dropEdgeTo(vm));
+        formerParent = answeredLast.filter(vm -> !preferred.equals(Optional.of(vm)));
+        parent = preferred;
+        preferred.ifPresent(vm -> {
+            dropEdgeTo(vm);
+            final TreeEdge edge = openEdge(vm);
+            previousEdge.ifPresent(previous -> previous.unacknowledgedUnits().forEach(edge::admitted));
         });
-        edges.put(edge.other(), edge);
-        parent = Optional.of(edge.other());
         idle = false;
-        lastCallNanos = callNanos;
+        lastCallNanos = now - CALL_INTERVAL_NANOS;
     }
 
     private boolean isParent(final TreeEdge edge) {
         return parent.filter(edge.other()::equals).isPresent();
     }
 
-    private TreeEdge newEdge(final VmId vm) {
-        return new TreeEdge(vm, random.nextLong() | 1, timer.nanoTime());
+    private TreeEdge openEdge(final VmId vm) {
+        final TreeEdge edge = new TreeEdge(vm, random.nextLong() | 1, timer.nanoTime());
+        edges.put(vm, edge);
+        return edge;
     }
 
     private void dropEdgeTo(final VmId vm) {
@@ -239,6 +202,9 @@
     private void dropEdge(final TreeEdge edge) {
         edges.remove(edge.other(), edge);
         removeUsage(edge);
+        if (formerParent.equals(Optional.of(edge.other()))) {
+            formerParent = Optional.empty();
+        }
         updateReachable();
     }
 
@@ -247,18 +213,19 @@
     }
 
     private void call(final TreeEdge edge) {
-        called = Optional.of(edge);
+        calling = true;
         lastCallNanos = timer.nanoTime();
         final boolean unchanged = !edge.hasChanges();
         peers.call(edge.other(), FleetMethods.DIGEST, digest(edge), TIMEOUT)
                 .subscribe(
                         response -> {
-                            called = called.filter(each -> each != edge);
+                            calling = false;
                             receive(edge, response);
                             idle = unchanged && isEmpty(response);
+                            formerParent.ifPresent(this::dropEdgeTo);
                         },
                         error -> {
-                            called = called.filter(each -> each != edge);
+                            calling = false;
                             edge.resendAll();
                             skippedSince.put(edge.other(), timer.nanoTime());
                         });
@@ -271,8 +238,7 @@
     private Digest serve(final VmId from, final Digest received) {
         TreeEdge edge = edges.get(from);
         if (edge == null) {
-            edge = newEdge(from);
-            edges.put(from, edge);
+            edge = openEdge(from);
         }
         recordLocalChanges();
         receive(edge, received);
@@ -319,15 +285,14 @@
     }
 
     /**
-     * Returns the VMs whose reports must not be sent over an edge: the VM at its other end, and towards the next parent
-     * also the present one.
+     * Returns the VMs whose reports must not be sent over an edge: the VM at its other end, and towards the parent also
+     * the former parent.
      */
     private Set<VmId> excludedVms(final TreeEdge edge) {
-        final Set<VmId> excluded = new HashSet<>(Set.of(edge.other()));
-        if (candidate.equals(Optional.of(edge))) {
-            parent.ifPresent(excluded::add);
-        }
-        return excluded;
+        final boolean towardsParent = isParent(edge);
+        return towardsParent && formerParent.isPresent()
+                ? Set.of(edge.other(), formerParent.get())
+                : Set.of(edge.other());
     }
 
     private int count(final Set<VmId> excluded, final boolean readers) {
@@ -375,7 +340,7 @@
         final long added = edge.newUnits(team, usage.getUnits());
         if (added != 0) {
             rateLimiter.admittedElsewhere(team, added);
-            recordUnits(edgesExcept(edge), team, added);
+            edgesExcept(edge).forEach(each -> each.admitted(team, added));
         }
     }
 
@@ -416,7 +381,7 @@
             final Long previous = recordedUnits.put(team, total);
             final long added = total - (previous == null ? 0 : previous);
             if (added != 0) {
-                recordUnits(edges.values(), team, added);
+                edges.values().forEach(edge -> edge.admitted(team, added));
             }
         });
         for (final TreeEdge edge : edges.values()) {
@@ -427,26 +392,11 @@
         }
     }
 
-    private void recordUnits(final Collection<TreeEdge> receivers, final TeamId team, final long added) {
-        receivers.forEach(edge -> edge.admitted(team, added));
-        if (parent.isEmpty()) {
-            candidate.ifPresent(edge -> edge.admitted(team, added));
-        }
-    }
-
-    /** Drops the edges that are silent. The edge to the parent is kept for what it has not reported yet. */
     private void dropSilentEdges() {
         final long now = timer.nanoTime();
         for (final TreeEdge edge : List.copyOf(edges.values())) {
-            if (now - edge.receivedNanos() <= EDGE_TIMEOUT_NANOS) {
-                continue;
-            }
-            if (!isParent(edge)) {
+            if (now - edge.receivedNanos() > EDGE_TIMEOUT_NANOS && !isParent(edge)) {
                 dropEdge(edge);
-            } else if (edge.vms() > 0) {
-                edge.forgetReceived();
-                removeUsage(edge);
-                updateReachable();
             }
         }
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
@@ -229,11 +229,9 @@
         acknowledgedUnits = Map.of();
     }
 
-    /** Forgets what the other end has reported, so that its next digest must be a full one. */
-    void forgetReceived() {
-        receivedNumber = 0;
-        vms = 0;
-        readers = 0;
+    /** Returns whether any digest was received over this edge. */
+    boolean hasReceived() {
+        return receivedNumber > 0;
     }
 
     /** Returns when the last digest was received, on the monotonic clock. */
