Read the limits that targets name, and log when one begins, changes or ends

The words of a target about itself stand in one record now, TargetNotice, so that the next one is added there and in the dialect.

No decision uses the limits yet: requests are sent as before. What is read strictly: a decimal number, no sign, no exponent; the lowest of several; an unreadable one changes nothing and is logged once for each text. A lower limit is believed at once, a higher one only from a response to a request that was sent after the lower one was heard.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -51,6 +51,7 @@
 import org.balsambank.core.serving.request.ServiceRetryBudgets;
 import org.balsambank.core.serving.request.TargetSender;
 import org.balsambank.core.serving.target.InFlightRequests;
+import org.balsambank.core.serving.target.TargetLimits;
 import org.balsambank.core.serving.target.TargetPerformance;
 import org.balsambank.core.serving.target.TargetTable;
 import org.balsambank.core.supervise.Component;
@@ -79,6 +80,7 @@
     private final ActivePlan activePlan;
     private final StopWindow stopWindow;
     private final TargetTable targets;
+    private final TargetLimits limits;
     private final ResidencyTable residency = new ResidencyTable();
     private final InFlightRequests inFlight = new InFlightRequests();
     private final TargetPerformance performance = new TargetPerformance();
@@ -126,6 +128,7 @@
         activePlan = new ActivePlan(timer, log);
         stopWindow = new StopWindow(timer);
         targets = new TargetTable(timer, log);
+        limits = new TargetLimits(targets, timer, log);
         members = new FleetMembers(self, timer, log);
         jumps = new ClockJumpDetector(timer, wallMillis);
         memberLease = new MemberLease(
@@ -145,7 +148,7 @@
                 log);
         final TeamRateLimiter rateLimiter = new TeamRateLimiter(timer, members, settings.rateSlack());
         final TargetCrashTracker crashTracker = new TargetCrashTracker(timer, members, log);
-        registry.gauge("balsambank.serving.parts.suspect", crashTracker.parts(), PromptPartTracker::suspects);
+        registerGauges(registry, crashTracker);
         final ColdTargetLimiter cold =
                 new ColdTargetLimiter(timer, members, settings.coldOverage(), settings.coldSlack());
         final TargetChooser chooser = new TargetChooser(
@@ -156,6 +159,7 @@
         dependencies = new RequestDependencies(
                 activePlan,
                 targets,
+                limits,
                 chooser,
                 placement,
                 residency,
@@ -172,9 +176,18 @@
                 log,
                 new RequestMetrics(registry));
         savedEvidence = createSavedEvidence(store, crashTracker, wallMillis);
+        supervisor = new Supervisor("serving", components(), timer, registry);
+    }
+
+    private List<Component> components() {
         final List<Component> components = new ArrayList<>(List.of(reader, placement, digests));
         components.addAll(savedEvidence);
-        supervisor = new Supervisor("serving", components, timer, registry);
+        return components;
+    }
+
+    private void registerGauges(final MeterRegistry registry, final TargetCrashTracker crashTracker) {
+        registry.gauge("balsambank.serving.parts.suspect", crashTracker.parts(), PromptPartTracker::suspects);
+        registry.gauge("balsambank.serving.targets.limited", limits, TargetLimits::limitedTargets);
     }
 
     private List<SavedEvidence> createSavedEvidence(
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
@@ -13,6 +13,7 @@
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.placement.ResidencyTable;
 import org.balsambank.core.serving.target.InFlightRequests;
+import org.balsambank.core.serving.target.TargetLimits;
 import org.balsambank.core.serving.target.TargetPerformance;
 import org.balsambank.core.serving.target.TargetTable;
 import org.balsambank.core.time.TimerService;
@@ -22,6 +23,7 @@
  *
  * @param activePlan the plan in force
  * @param targets the known targets
+ * @param limits the limits that targets have named
  * @param chooser chooses targets
  * @param placement makes adapters resident at targets
  * @param residency the adapters and models resident at targets
@@ -41,6 +43,7 @@
 public record RequestDependencies(
         ActivePlan activePlan,
         TargetTable targets,
+        TargetLimits limits,
         TargetChooser chooser,
         Placement placement,
         ResidencyTable residency,
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -97,7 +97,8 @@
         this.caller = Objects.requireNonNull(caller);
         this.sender = Objects.requireNonNull(sender);
         crashGuard = new CrashGuard(dependencies.crashTracker(), attributes);
-        notices = new TargetNotices(dependencies.targets(), dependencies.metrics(), attributes.id());
+        notices = new TargetNotices(
+                dependencies.targets(), dependencies.limits(), dependencies.metrics(), attributes.id());
         log = new RequestLog(dependencies.log(), attributes);
     }
 
@@ -507,7 +508,7 @@
 
         @Override
         public void headArrived(final ResponseHead received) {
-            pauseWanted = notices.record(choice.target(), received);
+            pauseWanted = notices.record(choice.target(), received, sentNanos);
         }
 
         @Override
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
@@ -65,6 +65,11 @@
         registry.counter(PREFIX + "target.marks", "kind", "leaving").increment();
     }
 
+    /** Counts a limit of a target that has begun, changed or ended in a response. */
+    public void targetLimitChanged() {
+        registry.counter(PREFIX + "target.marks", "kind", "limit").increment();
+    }
+
     /** Counts a rejection with which a target asked for a pause. */
     public void targetPaused() {
         registry.counter(PREFIX + "target.marks", "kind", "pause").increment();
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/ResponseHead.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/ResponseHead.java
@@ -1,7 +1,5 @@
 package org.balsambank.core.serving.request;
 
-import java.util.Optional;
-
 /**
  * The parts of a target's response head that retry and forwarding decisions use.
  *
@@ -11,16 +9,9 @@
  * @param notExecuted whether the target states that it has not executed the request
  * @param sealed whether the response has the seal that every target adds
  * @param encoded whether the body has a content encoding; no target applies one
- * @param leaving whether the target states that it leaves
- * @param retryAfter the time for which the target wants no requests, in seconds as it has written them
+ * @param notice what the target says of itself
  */
-public record ResponseHead(
-        int status,
-        boolean notExecuted,
-        boolean sealed,
-        boolean encoded,
-        boolean leaving,
-        Optional<String> retryAfter) {
+public record ResponseHead(int status, boolean notExecuted, boolean sealed, boolean encoded, TargetNotice notice) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/TargetNotices.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/TargetNotices.java
@@ -4,6 +4,7 @@
 
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.target.TargetAnnouncement;
+import org.balsambank.core.serving.target.TargetLimits;
 import org.balsambank.core.serving.target.TargetTable;
 
 /**
@@ -16,6 +17,7 @@
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final TargetTable targets;
+    private final TargetLimits limits;
     private final RequestMetrics metrics;
     private final RequestId request;
 
@@ -23,11 +25,17 @@
      * Creates an instance.
      *
      * @param targets the known targets
+     * @param limits the limits that they name
      * @param metrics counts the notices
      * @param request the request
      */
-    TargetNotices(final TargetTable targets, final RequestMetrics metrics, final RequestId request) {
+    TargetNotices(
+            final TargetTable targets,
+            final TargetLimits limits,
+            final RequestMetrics metrics,
+            final RequestId request) {
         this.targets = Objects.requireNonNull(targets);
+        this.limits = Objects.requireNonNull(limits);
         this.metrics = Objects.requireNonNull(metrics);
         this.request = Objects.requireNonNull(request);
     }
@@ -38,14 +46,22 @@
      *
      * @param target the start of the target to which the request was sent
      * @param head the head of the response
+     * @param sentNanos when the request was sent, on the monotonic clock
      * @return whether the target rejects the request and wants no others for a time, which is no failure
      */
-    boolean record(final TargetAnnouncement target, final ResponseHead head) {
-        if (head.leaving() && head.status() != MISDIRECTED_REQUEST && targets.recordLeaving(target, request)) {
+    boolean record(final TargetAnnouncement target, final ResponseHead head, final long sentNanos) {
+        if (head.status() == MISDIRECTED_REQUEST) {
+            return false;
+        }
+        if (head.notice().leaving() && targets.recordLeaving(target, request)) {
             metrics.targetLeaving();
         }
+        if (limits.recordNotice(target, head.notice().requestsPerSecond(), sentNanos, request)) {
+            metrics.targetLimitChanged();
+        }
         final boolean paused = head.status() == SERVICE_UNAVAILABLE
-                && head.retryAfter()
+                && head.notice()
+                        .retryAfter()
                         .filter(seconds -> targets.recordPause(target, seconds, request))
                         .isPresent();
         if (paused) {
--- /dev/null
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimit.java
@@ -0,0 +1,82 @@
+package org.balsambank.core.serving.target;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * The requests a second that a target takes from all VMs together.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param perSecond requests a second, not negative; infinite if the target names no limit
+ */
+public record TargetLimit(double perSecond) {
+    /** The target names no limit. */
+    public static final TargetLimit NONE = new TargetLimit(Double.POSITIVE_INFINITY);
+
+    private static final Pattern DECIMAL = Pattern.compile("\\d+(\\.\\d*)?|\\.\\d+");
+
+    /** Checks the range. */
+    public TargetLimit {
+        if (!(perSecond >= 0)) {
+            throw new IllegalArgumentException("requests a second: " + perSecond);
+        }
+    }
+
+    /**
+     * Parses the limits that one response names. The lowest counts, as they contradict each other.
+     *
+     * @param values the values, each a decimal number or several of them with commas between
+     * @return the lowest of those that can be read, {@link #NONE} if there are no values; empty if none can be read
+     */
+    static Optional<TargetLimit> parse(final List<String> values) {
+        if (values.isEmpty()) {
+            return Optional.of(NONE);
+        }
+        return parts(values)
+                .filter(TargetLimit::readable)
+                .map(part -> new TargetLimit(Double.parseDouble(part)))
+                .min((one, other) -> Double.compare(one.perSecond, other.perSecond));
+    }
+
+    /**
+     * Returns whether all limits that one response names can be read.
+     *
+     * @param values the values
+     * @return false if one of them is not a decimal number
+     */
+    static boolean allReadable(final List<String> values) {
+        return parts(values).allMatch(TargetLimit::readable);
+    }
+
+    private static Stream<String> parts(final List<String> values) {
+        return values.stream()
+                .flatMap(value -> List.of(value.split(",", -1)).stream())
+                .map(String::trim);
+    }
+
+    private static boolean readable(final String text) {
+        return DECIMAL.matcher(text).matches();
+    }
+
+    /**
+     * Returns whether the target names a limit.
+     *
+     * @return false for {@link #NONE}
+     */
+    public boolean limited() {
+        return perSecond < Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Returns whether this limit allows fewer requests than another one.
+     *
+     * @param other the other limit
+     * @return true if it is lower
+     */
+    boolean stricterThan(final TargetLimit other) {
+        return perSecond < other.perSecond;
+    }
+}
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -10,6 +10,7 @@
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.OutgoingAttempt;
 import org.balsambank.core.serving.request.ResponseHead;
+import org.balsambank.core.serving.request.TargetNotice;
 import org.balsambank.core.serving.request.TargetSender;
 
 /**
@@ -43,22 +44,34 @@
 
     /** Sends a complete response; returns whether it was forwarded to the caller. */
     boolean respond(final int status, final boolean notExecuted) {
-        return respond(head(status, notExecuted, false, Optional.empty()));
+        return respond(head(status, notExecuted, TargetNotice.NONE));
     }
 
     /** Sends a complete response of a target that leaves. */
     boolean respondLeaving(final int status, final boolean notExecuted) {
-        return respond(head(status, notExecuted, true, Optional.empty()));
+        return respond(head(status, notExecuted, leaving(true)));
     }
 
     /** Rejects the request and asks for no more for some seconds. */
     void rejectWithPause(final String seconds) {
-        respond(head(503, true, false, Optional.of(seconds)));
+        respond(head(503, true, new TargetNotice(false, Optional.of(seconds), List.of())));
     }
 
-    private static ResponseHead head(
-            final int status, final boolean notExecuted, final boolean leaving, final Optional<String> retryAfter) {
-        return new ResponseHead(status, notExecuted, !notExecuted, false, leaving, retryAfter);
+    /** Sends a complete response of a target that names limits in requests a second. */
+    boolean respondLimited(final int status, final boolean notExecuted, final String... requestsPerSecond) {
+        return respond(head(status, notExecuted, limits(requestsPerSecond)));
+    }
+
+    private static TargetNotice leaving(final boolean leaving) {
+        return new TargetNotice(leaving, Optional.empty(), List.of());
+    }
+
+    private static TargetNotice limits(final String... requestsPerSecond) {
+        return new TargetNotice(false, Optional.empty(), List.of(requestsPerSecond));
+    }
+
+    private static ResponseHead head(final int status, final boolean notExecuted, final TargetNotice notice) {
+        return new ResponseHead(status, notExecuted, !notExecuted, false, notice);
     }
 
     private boolean respond(final ResponseHead head) {
@@ -75,7 +88,7 @@
 
     /** Sends a success response without a seal; returns whether it was forwarded to the caller. */
     boolean respondWithoutSeal() {
-        return respond(new ResponseHead(200, false, false, false, false, Optional.empty()));
+        return respond(new ResponseHead(200, false, false, false, TargetNotice.NONE));
     }
 
     /** Sends the head and first chunk of a success response. */
@@ -91,7 +104,16 @@
 
     /** Sends the head of a success response of a target that may leave. */
     void sendHead(final boolean leaving) {
-        final ResponseHead head = head(200, false, leaving, Optional.empty());
+        sendHead(leaving(leaving));
+    }
+
+    /** Sends the head of a success response of a target that names limits in requests a second. */
+    void sendLimitedHead(final String... requestsPerSecond) {
+        sendHead(limits(requestsPerSecond));
+    }
+
+    private void sendHead(final TargetNotice notice) {
+        final ResponseHead head = head(200, false, notice);
         listener.headArrived(head);
         listener.head(head);
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
@@ -13,6 +13,7 @@
 import org.balsambank.core.serving.request.OutgoingAttempt;
 import org.balsambank.core.serving.request.RequestAttributes;
 import org.balsambank.core.serving.request.ResponseHead;
+import org.balsambank.core.serving.request.TargetNotice;
 import org.balsambank.gateway.Dialect;
 
 /**
@@ -46,7 +47,7 @@
 
     @Override
     public ResponseHead parseResponseHead(final HttpResponse head) {
-        return new ResponseHead(head.status().code(), false, true, false, false, Optional.empty());
+        return new ResponseHead(head.status().code(), false, true, false, TargetNotice.NONE);
     }
 
     @Override
