Issue permits for requests to targets that limit the requests of all VMs together

What callers and targets saw: a target that had named a limit of 1 request a second got 14 in 4 s (11 allowed), from VMs that had passed the limit on.

Cause: no VM read the limit. Class: a limit of one target that is shared by all VMs, of which each knows only its own requests at the moment it sends one. Reading it alone would not do: with a limit of 1 a second, one request of each of 95 VMs is eight times what is allowed in 4 s.

Change: VMs tell each other of limits in their digests. One VM, the first by hash, issues permits from a token bucket; a request asks right before it is sent. A wait for a permit is part of the cost of a choice. What is known to have no turn is refused at once, with the time until there is one.

Why it works: every request passes the one bucket of its target, whatever VM, attempt or queue it comes from. In 4 s it gives 4 s of the rate, a quarter of a second and one request of burst, and a second of permits issued ahead; the bound is 6 s of the rate and 5 requests.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -11,6 +11,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.reactivex.rxjava3.core.Completable;
+import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.LeaseId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
@@ -22,6 +23,7 @@
 import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
 import org.balsambank.core.serving.admission.StopWindow;
+import org.balsambank.core.serving.admission.TargetPermits;
 import org.balsambank.core.serving.admission.TeamRateLimiter;
 import org.balsambank.core.serving.choice.EngineLatencyModels;
 import org.balsambank.core.serving.choice.TargetChooser;
@@ -29,6 +31,7 @@
 import org.balsambank.core.serving.fleet.DigestExchange;
 import org.balsambank.core.serving.fleet.FleetMembers;
 import org.balsambank.core.serving.fleet.PeerEntrySource;
+import org.balsambank.core.serving.fleet.PermitExchange;
 import org.balsambank.core.serving.fleet.TargetCrashTracker;
 import org.balsambank.core.serving.placement.ClaimKeys;
 import org.balsambank.core.serving.placement.LeaseView;
@@ -134,25 +137,13 @@
         memberLease = new MemberLease(
                 memberRecord(settings), store, leaseSettings(), timer, jumps::requestSent, jumps::responseReceived);
         claims = new TargetClaims(self, store, new CurrentLease(), timer, log);
-        placement = new Placement(
-                self,
-                targets,
-                claims,
-                name -> activePlan.current().flatMap(plan -> plan.service(name)).flatMap(spec -> spec.engine()),
-                members::all,
-                orderClient,
-                inFlight,
-                residency,
-                peers,
-                timer,
-                log);
+        placement = createPlacement(orderClient);
         final TeamRateLimiter rateLimiter = new TeamRateLimiter(timer, members, settings.rateSlack());
         final TargetCrashTracker crashTracker = new TargetCrashTracker(timer, members, log);
         registerGauges(registry, crashTracker);
         final ColdTargetLimiter cold =
                 new ColdTargetLimiter(timer, members, settings.coldOverage(), settings.coldSlack());
-        final TargetChooser chooser = new TargetChooser(
-                targets, inFlight, residency, placement, performance, latency, cold, settings.domain(), timer, random);
+        final TargetPermits permits = new TargetPermits(limits, members, timer);
         reader = new ReplicaReader(
                 store, replica, new PeerEntrySource(peers, members, replica, random), this, timer, log);
         digests = createDigestExchange(new AggregationTree(self, settings.domain()), rateLimiter, crashTracker, random);
@@ -160,7 +151,7 @@
                 activePlan,
                 targets,
                 limits,
-                chooser,
+                createChooser(settings.domain(), cold, permits, random),
                 placement,
                 residency,
                 inFlight,
@@ -169,6 +160,7 @@
                 rateLimiter,
                 new ServiceRetryBudgets(settings.retryShare(), settings.retryReserve(), members),
                 cold,
+                new PermitExchange(peers, members, limits, permits, timer),
                 stopWindow,
                 crashTracker,
                 timer,
@@ -179,6 +171,30 @@
         supervisor = new Supervisor("serving", components(), timer, registry);
     }
 
+    private Placement createPlacement(final TargetOrderClient orderClient) {
+        return new Placement(
+                members.self(),
+                targets,
+                claims,
+                name -> activePlan.current().flatMap(plan -> plan.service(name)).flatMap(spec -> spec.engine()),
+                members::all,
+                orderClient,
+                inFlight,
+                residency,
+                peers,
+                timer,
+                log);
+    }
+
+    private TargetChooser createChooser(
+            final FailureDomain domain,
+            final ColdTargetLimiter cold,
+            final TargetPermits permits,
+            final SplittableRandom random) {
+        return new TargetChooser(
+                targets, inFlight, residency, placement, performance, latency, cold, permits, domain, timer, random);
+    }
+
     private List<Component> components() {
         final List<Component> components = new ArrayList<>(List.of(reader, placement, digests));
         components.addAll(savedEvidence);
@@ -211,6 +227,7 @@
                 residency,
                 placement,
                 crashTracker,
+                limits,
                 replica,
                 reader,
                 timer,
@@ -267,6 +284,15 @@
         return inFlight;
     }
 
+    /**
+     * Returns the limits that targets have named.
+     *
+     * @return the limits, as known to this VM
+     */
+    TargetLimits limits() {
+        return limits;
+    }
+
     /**
      * Returns the size and time limits for callers.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -13,6 +13,7 @@
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
+import org.balsambank.core.serving.admission.TargetPermits;
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.placement.ResidencyTable;
@@ -22,6 +23,7 @@
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 import org.balsambank.core.serving.target.TargetPerformance;
+import org.balsambank.core.serving.target.TargetStart;
 import org.balsambank.core.serving.target.TargetState;
 import org.balsambank.core.serving.target.TargetTable;
 import org.balsambank.core.target.RendezvousHash;
@@ -49,6 +51,7 @@
     private final TargetPerformance performance;
     private final EngineLatencyModels latencyModels;
     private final ColdTargetLimiter coldTargetLimiter;
+    private final TargetPermits permits;
     private final FailureDomain domain;
     private final TimerService timer;
     private final RandomGenerator random;
@@ -63,6 +66,7 @@
      * @param performance the measured slowdown and failure rate of targets
      * @param latencyModels the latency models of the services
      * @param coldTargetLimiter the rate limits of cold targets
+     * @param permits how long requests wait for targets that limit their requests
      * @param domain the failure domain of this VM
      * @param timer the timer service
      * @param random breaks ties between targets
@@ -75,6 +79,7 @@
             final TargetPerformance performance,
             final EngineLatencyModels latencyModels,
             final ColdTargetLimiter coldTargetLimiter,
+            final TargetPermits permits,
             final FailureDomain domain,
             final TimerService timer,
             final RandomGenerator random) {
@@ -85,6 +90,7 @@
         this.performance = Objects.requireNonNull(performance);
         this.latencyModels = Objects.requireNonNull(latencyModels);
         this.coldTargetLimiter = Objects.requireNonNull(coldTargetLimiter);
+        this.permits = Objects.requireNonNull(permits);
         this.domain = Objects.requireNonNull(domain);
         this.timer = Objects.requireNonNull(timer);
         this.random = Objects.requireNonNull(random);
@@ -101,7 +107,9 @@
         final long now = timer.nanoTime();
         final List<TargetState> candidates = new ArrayList<>();
         for (final TargetState state : targets.usable(required.service().name())) {
-            if (!excluded.contains(state.announcement().id()) && accepts(required.service(), state, now)) {
+            if (!excluded.contains(state.announcement().id())
+                    && expectedWait(state).compareTo(TargetPermits.MAX_WAIT) <= 0
+                    && accepts(required.service(), state, now)) {
                 candidates.add(state);
             }
         }
@@ -144,6 +152,23 @@
                 .map(left -> left.isZero() ? RETURN_INTERVAL : left);
     }
 
+    /**
+     * Returns when a service whose targets limit their requests can take one more.
+     *
+     * @param service the service
+     * @return the time until the first of its targets has a permit, empty if none of them names a limit
+     */
+    public Optional<Duration> untilPermit(final ServiceSpec service) {
+        return targets.usable(service.name()).stream()
+                .filter(state -> permits.needed(TargetStart.of(state.announcement())))
+                .map(this::expectedWait)
+                .min(Comparator.naturalOrder());
+    }
+
+    private Duration expectedWait(final TargetState state) {
+        return permits.expectedWait(TargetStart.of(state.announcement()));
+    }
+
     private boolean returning(final TargetState state, final long now) {
         return inFlight.total(state.announcement().id()).requests() >= state.maxInFlight(now);
     }
@@ -166,7 +191,8 @@
             final InFlightRequests.Usage usage = inFlight.total(target.id());
             final int slots = Math.max(1, target.slots());
             final double processingMillis = PLAIN_REQUEST_MILLIS * Math.max(1, (usage.requests() + 1.0) / slots);
-            final double cost = processingMillis * performance.slowdown(target.id())
+            final double cost = expectedWait(state).toMillis()
+                    + processingMillis * performance.slowdown(target.id())
                     + FAILURE_MILLIS * performance.failureRate(target.id())
                     + PLAIN_REQUEST_MILLIS * usage.requests() / slots
                     + (target.domain().equals(domain) ? 0 : OTHER_DOMAIN_MILLIS)
@@ -182,7 +208,7 @@
     private Optional<TargetChoice> chooseForEngines(
             final TargetRequirements required, final List<TargetState> candidates, final EngineSpec spec) {
         final List<TargetState> ordered = required.adapter()
-                .map(adapter -> byRendezvous(candidates, adapter))
+                .map(adapter -> limitedLast(byRendezvous(candidates, adapter)))
                 .orElse(candidates);
         TargetChoice best = null;
         for (int rank = 0; rank < ordered.size(); rank++) {
@@ -222,7 +248,9 @@
                 cost += UNCONTROLLED_COST;
             }
         }
-        double totalMillis = loadMillis + processingMillis * performance.slowdown(target.id());
+        double totalMillis = permits.expectedWait(TargetStart.of(target)).toMillis()
+                + loadMillis
+                + processingMillis * performance.slowdown(target.id());
         if (usage.requests() >= spec.slots()) {
             totalMillis += FULL_TARGET_MILLIS;
         }
@@ -264,6 +292,13 @@
                 .toList();
     }
 
+    /** Moves targets that limit their requests to the end, so that adapters are loaded at others first. */
+    private List<TargetState> limitedLast(final List<TargetState> ordered) {
+        return ordered.stream()
+                .sorted(Comparator.comparing(state -> permits.needed(TargetStart.of(state.announcement()))))
+                .toList();
+    }
+
     /** A target with its score for one adapter. */
     private record Scored(TargetState state, long score) {}
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestCodec.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestCodec.java
@@ -14,9 +14,13 @@
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.TargetResidency;
 import org.balsambank.core.serving.target.InFlightRequests;
+import org.balsambank.core.serving.target.TargetLimit;
+import org.balsambank.core.serving.target.TargetLimits;
+import org.balsambank.core.serving.target.TargetStart;
 import org.balsambank.protocol.generated.serving.Entry;
 import org.balsambank.protocol.generated.serving.HeldAdapter;
 import org.balsambank.protocol.generated.serving.Holding;
+import org.balsambank.protocol.generated.serving.LimitReport;
 import org.balsambank.protocol.generated.serving.TargetUse;
 
 /**
@@ -83,6 +87,27 @@
         return new TargetResidency(holding.getFence(), holding.getNumber(), adapters, pending, models);
     }
 
+    /** Encodes what this VM knows of the limit of a target. */
+    static LimitReport limit(final TargetLimits.Report report) {
+        final LimitReport.Builder encoded = LimitReport.newBuilder()
+                .setTarget(report.start().target().value())
+                .setStartedMillis(report.start().startedMillis())
+                .setNumber(report.number());
+        if (report.limit().limited()) {
+            encoded.setPerSecond(report.limit().perSecond());
+        }
+        return encoded.build();
+    }
+
+    /** Decodes what another VM knows of the limit of a target; a number of requests that is none counts as 0. */
+    static TargetLimits.Report limit(final LimitReport report) {
+        final double perSecond = report.getPerSecond() >= 0 ? report.getPerSecond() : 0;
+        return new TargetLimits.Report(
+                new TargetStart(new TargetId(report.getTarget()), report.getStartedMillis()),
+                report.hasPerSecond() ? new TargetLimit(perSecond) : TargetLimit.NONE,
+                report.getNumber());
+    }
+
     /** Encodes a change of an entry of the key-value service. */
     static Entry entry(final KeyValueChange change) {
         final Entry.Builder entry = Entry.newBuilder().setKey(change.key()).setRevision(change.revision());
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -23,11 +23,14 @@
 import org.balsambank.core.serving.replica.EntryReplica;
 import org.balsambank.core.serving.replica.ReplicaReader;
 import org.balsambank.core.serving.target.InFlightRequests;
+import org.balsambank.core.serving.target.TargetLimits;
+import org.balsambank.core.serving.target.TargetStart;
 import org.balsambank.core.supervise.Component;
 import org.balsambank.core.time.TimerService;
 import org.balsambank.protocol.generated.serving.BrokenRuns;
 import org.balsambank.protocol.generated.serving.Digest;
 import org.balsambank.protocol.generated.serving.Holding;
+import org.balsambank.protocol.generated.serving.LimitReport;
 import org.balsambank.protocol.generated.serving.PartReport;
 import org.balsambank.protocol.generated.serving.TargetUse;
 import org.balsambank.protocol.generated.serving.TeamUse;
@@ -61,6 +64,7 @@
     private final ResidencyTable residency;
     private final Placement placement;
     private final TargetCrashTracker crashTracker;
+    private final TargetLimits limits;
     private final EntryReplica replica;
     private final ReplicaReader reader;
     private final TimerService timer;
@@ -86,6 +90,7 @@
      * @param residency the adapters and models resident at targets
      * @param placement the targets that this VM controls
      * @param crashTracker the requests and parts of prompts whose targets crashed
+     * @param limits the limits that targets have named
      * @param replica the entries that this VM knows
      * @param reader keeps the replica up to date
      * @param timer the timer service
@@ -100,6 +105,7 @@
             final ResidencyTable residency,
             final Placement placement,
             final TargetCrashTracker crashTracker,
+            final TargetLimits limits,
             final EntryReplica replica,
             final ReplicaReader reader,
             final TimerService timer,
@@ -112,6 +118,7 @@
         this.residency = Objects.requireNonNull(residency);
         this.placement = Objects.requireNonNull(placement);
         this.crashTracker = Objects.requireNonNull(crashTracker);
+        this.limits = Objects.requireNonNull(limits);
         this.replica = Objects.requireNonNull(replica);
         this.reader = Objects.requireNonNull(reader);
         this.timer = Objects.requireNonNull(timer);
@@ -232,7 +239,10 @@
     }
 
     private static boolean isEmpty(final Digest digest) {
-        return digest.getUsesCount() == 0 && digest.getTeamsCount() == 0 && digest.getHoldingsCount() == 0;
+        return digest.getUsesCount() == 0
+                && digest.getTeamsCount() == 0
+                && digest.getHoldingsCount() == 0
+                && digest.getLimitsCount() == 0;
     }
 
     private Digest serve(final VmId from, final Digest received) {
@@ -270,6 +280,10 @@
         for (final PromptPartId part : full ? crashTracker.parts().parts() : changedParts) {
             crashTracker.parts().report(part).ifPresent(digest::addParts);
         }
+        final Set<TargetStart> changedLimits = edge.drainLimits();
+        for (final TargetStart target : full ? limits.starts() : changedLimits) {
+            digest.addLimits(DigestCodec.limit(limits.report(target)));
+        }
         final long recoveredMillis =
                 reader.sinceRecovery().map(since -> since.toMillis() + 1).orElse(0L);
         digest.setVms(1 + count(excluded, false))
@@ -319,6 +333,7 @@
         digest.getHoldingsList().forEach(holding -> applyResidency(edge, holding));
         digest.getBrokenList().forEach(crash -> applyCrash(edge, crash));
         digest.getPartsList().forEach(report -> applyPart(edge, report));
+        digest.getLimitsList().forEach(report -> applyLimit(edge, report));
         if (isParent(edge)) {
             reader.applyForwarded(
                     digest.getRevision(),
@@ -363,6 +378,13 @@
         }
     }
 
+    private void applyLimit(final TreeEdge edge, final LimitReport report) {
+        final TargetLimits.Report decoded = DigestCodec.limit(report);
+        if (limits.recordReport(decoded, edge.other())) {
+            edgesExcept(edge).forEach(each -> each.limitChanged(decoded.start()));
+        }
+    }
+
     private void usageChanged(final TargetId target, final TreeEdge source) {
         edgesExcept(source).forEach(each -> each.usageChanged(target));
     }
@@ -377,6 +399,7 @@
         final Set<TargetId> changedResidency = placement.drainChanged();
         final List<BrokenRuns> crashes = crashTracker.drainUnreported();
         final Set<PromptPartId> changedParts = crashTracker.parts().drainChanged();
+        final Set<TargetStart> changedLimits = limits.drainChanged();
         rateLimiter.totals().forEach((team, total) -> {
             final Long previous = recordedUnits.put(team, total);
             final long added = total - (previous == null ? 0 : previous);
@@ -389,6 +412,7 @@
             changedResidency.forEach(edge::residencyChanged);
             crashes.forEach(edge::crashed);
             changedParts.forEach(edge::partChanged);
+            changedLimits.forEach(edge::limitChanged);
         }
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -135,6 +136,15 @@
         return reachable > others().size() && readers == 0;
     }
 
+    /**
+     * Returns this VM.
+     *
+     * @return its id
+     */
+    public VmId self() {
+        return self;
+    }
+
     /**
      * Returns the other registered VMs.
      *
@@ -191,6 +201,19 @@
         return rank(subject) == 0;
     }
 
+    /**
+     * Returns the VM of the fleet that decides about a subject.
+     *
+     * @param subject the subject
+     * @return the VM for which {@link #isFirstFor(String)} is true if the VMs know the same registrations
+     */
+    public VmId firstFor(final String subject) {
+        final long hash = RendezvousHash.of(subject);
+        return all().stream()
+                .max(Comparator.comparingLong(vm -> RendezvousHash.score(hash, RendezvousHash.of(vm.value()))))
+                .orElse(self);
+    }
+
     private int rank(final String subject) {
         return RendezvousHash.rank(
                 subject, self.value(), others().stream().map(each -> each.id().value()));
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMethods.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMethods.java
@@ -6,6 +6,8 @@
 import org.balsambank.protocol.generated.serving.EntriesAsk;
 import org.balsambank.protocol.generated.serving.HoldAnswer;
 import org.balsambank.protocol.generated.serving.HoldAsk;
+import org.balsambank.protocol.generated.serving.PermitAnswer;
+import org.balsambank.protocol.generated.serving.PermitAsk;
 
 /**
  * The methods with which VMs call each other while they serve requests.
@@ -22,6 +24,9 @@
     /** Fetches entries of the key-value service. */
     public static final PeerMethod<EntriesAsk, EntriesAnswer> ENTRIES =
             new PeerMethod<>(72, "serving-entries", EntriesAsk.parser(), EntriesAnswer.parser());
+    /** Requests a permit for a request to a target that limits its requests. */
+    public static final PeerMethod<PermitAsk, PermitAnswer> PERMIT =
+            new PeerMethod<>(73, "serving-permit", PermitAsk.parser(), PermitAnswer.parser());
 
     private FleetMethods() {}
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TreeEdge.java
@@ -13,6 +13,7 @@
 import org.balsambank.core.id.TeamId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.serving.placement.AdapterKey;
+import org.balsambank.core.serving.target.TargetStart;
 import org.balsambank.protocol.generated.serving.BrokenRuns;
 import org.balsambank.protocol.generated.serving.Digest;
 
@@ -30,6 +31,7 @@
     private final Set<TargetId> changedUsage = new HashSet<>();
     private final Set<TargetId> changedResidency = new HashSet<>();
     private final Set<PromptPartId> changedParts = new HashSet<>();
+    private final Set<TargetStart> changedLimits = new HashSet<>();
     private final Set<TeamId> changedTeams = new HashSet<>();
     private final Map<TeamId, Long> units = new HashMap<>();
     private final Map<TargetId, Set<AdapterKey>> sentAdapters = new HashMap<>();
@@ -80,6 +82,11 @@
         changedParts.add(part);
     }
 
+    /** Records that the limit of a target has changed. */
+    void limitChanged(final TargetStart target) {
+        changedLimits.add(target);
+    }
+
     /** Records units admitted on this side. */
     void admitted(final TeamId team, final long added) {
         units.merge(team, added, Long::sum);
@@ -109,6 +116,7 @@
                 || !changedUsage.isEmpty()
                 || !changedResidency.isEmpty()
                 || !changedParts.isEmpty()
+                || !changedLimits.isEmpty()
                 || !changedTeams.isEmpty()
                 || !newCrashes.isEmpty();
     }
@@ -128,6 +136,11 @@
         return drain(changedParts);
     }
 
+    /** Returns the targets with changed limits and clears the set. */
+    Set<TargetStart> drainLimits() {
+        return drain(changedLimits);
+    }
+
     /**
      * Returns the changed totals of units, or all totals of the session if the digest is full, and clears the changes.
      */
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestDependencies.java
@@ -9,6 +9,7 @@
 import org.balsambank.core.serving.admission.TeamRateLimiter;
 import org.balsambank.core.serving.choice.EngineLatencyModels;
 import org.balsambank.core.serving.choice.TargetChooser;
+import org.balsambank.core.serving.fleet.PermitExchange;
 import org.balsambank.core.serving.fleet.TargetCrashTracker;
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.placement.ResidencyTable;
@@ -33,6 +34,7 @@
  * @param rateLimiter the rate limits of teams
  * @param retryBudgets the retry budgets of services
  * @param coldTargetLimiter the rate limits of cold targets
+ * @param permits the permits for requests to targets that limit them
  * @param stopWindow decides which requests are accepted while this VM stops
  * @param crashTracker the requests and parts of prompts whose targets crashed
  * @param timer the timer service
@@ -53,6 +55,7 @@
         TeamRateLimiter rateLimiter,
         ServiceRetryBudgets retryBudgets,
         ColdTargetLimiter coldTargetLimiter,
+        PermitExchange permits,
         StopWindow stopWindow,
         TargetCrashTracker crashTracker,
         TimerService timer,
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -21,6 +21,7 @@
 import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
+import org.balsambank.core.serving.target.TargetStart;
 
 /**
  * Handles one request from its arrival to its final response: route, API key, rate limit, choice of a target, adapter
@@ -38,15 +39,11 @@
     /** The chunks of a response after which its target has survived the beginning. */
     private static final int SURVIVED_CHUNKS = 2;
 
-    private static final long DEADLINE_MARGIN_NANOS = Duration.ofMillis(15).toNanos();
     /** The time that a target may need to end a response after its deadline. */
     private static final Duration TARGET_END_MARGIN = Duration.ofMillis(100);
 
-    private static final double MAX_LATENCY_OBJECTIVES = 3.6;
-    private static final double DEADLINE_SHARE = 0.9;
     private static final long MAX_ADAPTER_WAIT_MILLIS = 1_000;
     private static final long TOTAL_ADAPTER_WAIT_MILLIS = 2_200;
-    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
 
     private final RequestDependencies dependencies;
     private final RequestAttributes attributes;
@@ -59,7 +56,7 @@
     private ResolvedRequest resolved;
     private double units;
     private Optional<TeamSpec> chargedTeam = Optional.empty();
-    private long deadlineNanos;
+    private RequestDeadline time;
     private Disposable deadline = Disposable.disposed();
     private Disposable pendingWait = Disposable.disposed();
     private Disposable verdicts = Disposable.disposed();
@@ -110,13 +107,8 @@
             reject(e.kind(), Optional.empty(), e.getMessage());
             return;
         }
-        final long now = dependencies.timer().nanoTime();
-        final long requested = attributes.deadlineMillis() > 0 ? attributes.deadlineMillis() : DEFAULT_DEADLINE_MILLIS;
-        final long limit = resolved.route().timeoutMillis() > 0
-                ? Math.min(requested, resolved.route().timeoutMillis())
-                : requested;
-        deadlineNanos = attributes.arrivedNanos() + Duration.ofMillis(limit).toNanos() - DEADLINE_MARGIN_NANOS;
-        if (!dependencies.stopWindow().accepts(deadlineNanos)) {
+        time = new RequestDeadline(dependencies.timer(), attributes, resolved.route());
+        if (!dependencies.stopWindow().accepts(time.endNanos())) {
             reject(ErrorKind.STOPPING, Optional.empty(), "this VM exits before the deadline");
             return;
         }
@@ -126,7 +118,7 @@
         dependencies.retryBudgets().recordRequest(resolved.service().name());
         deadline = dependencies
                 .timer()
-                .after(Duration.ofNanos(Math.max(0, deadlineNanos - now)))
+                .after(time.remaining().isNegative() ? Duration.ZERO : time.remaining())
                 .subscribe(this::deadlineExpired);
         verdicts = crashGuard.verdicts().subscribe(ignored -> verdictChanged());
         tryNextTarget();
@@ -208,18 +200,18 @@
                 attributes.adapter(),
                 attributes.promptTokens(),
                 attributes.outputTokens(),
-                remainingObjective(),
+                time.remainingObjectiveMillis(resolved.route()),
                 resolved.route().eventGapMillis());
         final Optional<TargetChoice> chosen = dependencies.chooser().choose(required, excluded);
         if (chosen.isEmpty()) {
             dependencies
                     .chooser()
                     .untilPauseEnds(resolved.service(), excluded)
-                    .ifPresentOrElse(this::waitForPause, () -> rejectWithNoTarget("no usable target"));
+                    .ifPresentOrElse(this::waitForPause, this::rejectWithoutPermit);
             return;
         }
         choice = chosen.get();
-        if (cannotMeetDeadline(choice.estimateMillis())) {
+        if (time.cannotBeMet(resolved.route(), choice.estimateMillis())) {
             reject(
                     ErrorKind.OVERLOADED,
                     Optional.of(RetryAfter.jitteredDelay(
@@ -237,7 +229,7 @@
     /** Waits until a target that has paused may take the request; rejects it at once if its deadline comes first. */
     private void waitForPause(final Duration untilEnd) {
         final Duration wait = RetryAfter.spreadAfter(untilEnd, dependencies.random());
-        if (dependencies.timer().nanoTime() + wait.toNanos() >= deadlineNanos) {
+        if (wait.compareTo(time.remaining()) >= 0) {
             reject(ErrorKind.OVERLOADED, Optional.of(wait), "all targets pause");
             return;
         }
@@ -245,11 +237,17 @@
         pendingWait = dependencies.timer().after(wait).subscribe(this::tryNextTarget);
     }
 
-    private long remainingObjective() {
-        if (resolved.route().targetLatencyMillis() <= 0) {
-            return 0;
-        }
-        return Math.max(1, resolved.route().targetLatencyMillis() - millisSince(attributes.arrivedNanos()));
+    /** Rejects the request, as its targets limit their requests and others come first, or as there are none. */
+    private void rejectWithoutPermit() {
+        dependencies
+                .chooser()
+                .untilPermit(resolved.service())
+                .ifPresentOrElse(
+                        wait -> reject(
+                                ErrorKind.OVERLOADED,
+                                Optional.of(RetryAfter.spreadAfter(wait, dependencies.random())),
+                                "all targets limit their requests"),
+                        () -> rejectWithNoTarget("no usable target"));
     }
 
     private boolean stillAllowed() {
@@ -266,21 +264,6 @@
         }
     }
 
-    private boolean cannotMeetDeadline(final double estimateMillis) {
-        final double remainingMillis =
-                Duration.ofNanos(deadlineNanos - dependencies.timer().nanoTime())
-                                .toMillis()
-                        * DEADLINE_SHARE;
-        if (resolved.route().repeatPolicy() != RepeatPolicy.STREAM
-                || resolved.route().targetLatencyMillis() <= 0) {
-            return estimateMillis > remainingMillis;
-        }
-        return estimateMillis
-                > Math.min(
-                        remainingMillis,
-                        MAX_LATENCY_OBJECTIVES * resolved.route().targetLatencyMillis());
-    }
-
     private void awaitAdapter() {
         final AdapterKey adapter = attributes.adapter().orElseThrow();
         final TargetAnnouncement target = choice.target();
@@ -332,15 +315,22 @@
         inFlight = dependencies.inFlight().begin(target, attributes.promptTokens(), attributes.adapter());
         pacingMillis = wait.toMillis();
         if (wait.isZero()) {
-            send(loadedVersion);
+            awaitPermitAndSend(loadedVersion);
             return;
         }
         pendingWait = dependencies.timer().after(wait).subscribe(() -> sendAfterPacing(loadedVersion));
     }
 
     private void sendAfterPacing(final OptionalLong loadedVersion) {
+        if (mayStillBeSent()) {
+            awaitPermitAndSend(loadedVersion);
+        }
+    }
+
+    /** Checks a request that has waited; one that its target must not receive any more goes elsewhere. */
+    private boolean mayStillBeSent() {
         if (ended || !stillAllowed()) {
-            return;
+            return false;
         }
         if (!dependencies
                 .chooser()
@@ -348,15 +338,43 @@
             excluded.add(choice.target().id());
             cancelAttempt();
             tryNextTarget();
+            return false;
+        }
+        return true;
+    }
+
+    /** Sends the request, at its turn if the target limits the requests of all VMs together. */
+    private void awaitPermitAndSend(final OptionalLong loadedVersion) {
+        final TargetStart target = TargetStart.of(choice.target());
+        if (!dependencies.permits().needed(target)) {
+            send(loadedVersion);
+            return;
+        }
+        final long sinceNanos = dependencies.timer().nanoTime();
+        pendingWait = dependencies
+                .permits()
+                .await(target, time.remaining())
+                .subscribe(granted -> permitWaitEnded(granted, loadedVersion, sinceNanos));
+    }
+
+    private void permitWaitEnded(final boolean granted, final OptionalLong loadedVersion, final long sinceNanos) {
+        if (ended) {
             return;
         }
-        send(loadedVersion);
+        log.permitWaitEnded(choice.target().id(), granted, millisSince(sinceNanos));
+        dependencies.metrics().permit(granted);
+        if (!granted) {
+            cancelAttempt();
+            tryNextTarget();
+        } else if (mayStillBeSent()) {
+            send(loadedVersion);
+        }
     }
 
     private void send(final OptionalLong loadedVersion) {
         final TargetAnnouncement target = choice.target();
         final long now = dependencies.timer().nanoTime();
-        final long remaining = Duration.ofNanos(deadlineNanos - now).toMillis();
+        final long remaining = time.remaining().toMillis();
         if (remaining <= 0) {
             deadlineExpired();
             return;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestLog.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestLog.java
@@ -61,6 +61,21 @@
                 .write();
     }
 
+    /**
+     * Logs that the wait for a permit of a target that limits its requests has ended.
+     *
+     * @param target the target
+     * @param granted whether there is a permit
+     * @param waitedMillis the duration of the wait
+     */
+    void permitWaitEnded(final TargetId target, final boolean granted, final long waitedMillis) {
+        line("permit")
+                .with("target", target.value())
+                .with("granted", String.valueOf(granted))
+                .with("waited_ms", waitedMillis)
+                .write();
+    }
+
     /**
      * Logs an attempt that is about to be sent.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestMetrics.java
@@ -70,6 +70,16 @@
         registry.counter(PREFIX + "target.marks", "kind", "limit").increment();
     }
 
+    /**
+     * Counts the answer to the request for a permit of a target that limits its requests.
+     *
+     * @param granted whether there is a permit
+     */
+    public void permit(final boolean granted) {
+        registry.counter(PREFIX + "target.permits", "granted", String.valueOf(granted))
+                .increment();
+    }
+
     /** Counts a rejection with which a target asked for a pause. */
     public void targetPaused() {
         registry.counter(PREFIX + "target.marks", "kind", "pause").increment();
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimits.java
@@ -2,14 +2,17 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.id.TargetId;
+import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.time.TimerService;
 
@@ -17,7 +20,10 @@
  * The limits that targets have named in their responses.
  *
  * <p>Responses may overtake each other. A lower limit is therefore believed at once, a higher one or the end of a limit
- * only if the request was sent after the last response that named the lower one. Confined to the decision loop.
+ * only if the request was sent after the last response that named the lower one.
+ *
+ * <p>VMs tell each other of changes. Each change that a VM hears from a target gets a number above that of the change
+ * before; of two changes with the same number, the lower limit is believed. Confined to the decision loop.
  */
 public final class TargetLimits {
     private static final long RETENTION_NANOS = Duration.ofMinutes(10).toNanos();
@@ -29,6 +35,7 @@
     private final DecisionLog log;
     private final Map<TargetStart, Belief> beliefs = new LinkedHashMap<>();
     private final Map<TargetId, String> unreadable = new HashMap<>();
+    private final Set<TargetStart> changed = new HashSet<>();
 
     /**
      * Creates an instance without limits.
@@ -71,12 +78,73 @@
         if (!named.get().stricterThan(previous.limit) && sentNanos - previous.heardNanos < 0) {
             return false;
         }
-        removeOld(now);
-        beliefs.put(start, new Belief(named.get(), now));
-        logChange(start, named.get(), request.value());
+        believe(start, new Belief(named.get(), previous.number + 1, now), request.value());
+        changed.add(start);
         return true;
     }
 
+    /**
+     * Records what another VM knows of a limit.
+     *
+     * @param report the report
+     * @param from the VM that has sent it
+     * @return true if this VM did not know it; if so, the caller passes the report on to the other VMs
+     */
+    public boolean recordReport(final Report report, final VmId from) {
+        final Belief previous = beliefs.getOrDefault(report.start(), Belief.UNKNOWN);
+        final boolean newer = report.number() > previous.number
+                || report.number() == previous.number && report.limit().stricterThan(previous.limit);
+        if (newer) {
+            believe(report.start(), new Belief(report.limit(), report.number(), timer.nanoTime()), from.value());
+        }
+        return newer;
+    }
+
+    /** Marks a limit as changed, so that it is reported to the other VMs. */
+    public void reportAnew(final TargetStart start) {
+        changed.add(start);
+    }
+
+    /**
+     * Returns the starts of targets whose limits have changed since the last call, other than by a report.
+     *
+     * @return the starts
+     */
+    public Set<TargetStart> drainChanged() {
+        final Set<TargetStart> drained = new HashSet<>(changed);
+        changed.clear();
+        return drained;
+    }
+
+    /**
+     * Returns the starts of targets that have named a limit once.
+     *
+     * @return the starts, those whose limit has ended included
+     */
+    public Set<TargetStart> starts() {
+        return Set.copyOf(beliefs.keySet());
+    }
+
+    /**
+     * Returns what to report to other VMs.
+     *
+     * @param start the start of a target
+     * @return what this VM knows of its limit
+     */
+    public Report report(final TargetStart start) {
+        final Belief belief = beliefs.getOrDefault(start, Belief.UNKNOWN);
+        return new Report(start, belief.limit, belief.number);
+    }
+
+    private void believe(final TargetStart start, final Belief belief, final String source) {
+        final boolean differs = !belief.limit.equals(of(start));
+        removeOld(belief.heardNanos);
+        beliefs.put(start, belief);
+        if (differs) {
+            logChange(start, belief.limit, source);
+        }
+    }
+
     /**
      * Returns the limit of a target.
      *
@@ -85,11 +153,20 @@
      */
     public TargetLimit of(final TargetId target) {
         return targets.find(target)
-                .map(state -> beliefs.get(TargetStart.of(state.announcement())))
-                .map(belief -> belief.limit)
+                .map(state -> of(TargetStart.of(state.announcement())))
                 .orElse(TargetLimit.NONE);
     }
 
+    /**
+     * Returns the limit of one start of a target.
+     *
+     * @param start the start
+     * @return the limit that it has named last
+     */
+    public TargetLimit of(final TargetStart start) {
+        return beliefs.getOrDefault(start, Belief.UNKNOWN).limit;
+    }
+
     /**
      * Returns the number of targets that limit their requests.
      *
@@ -135,17 +212,27 @@
         line.write();
     }
 
+    /**
+     * What a VM knows of the limit of one start of a target.
+     *
+     * @param start the start of the target
+     * @param limit the limit
+     * @param number the number of the change that has brought it, 0 if there was none
+     */
+    public record Report(TargetStart start, TargetLimit limit, long number) {}
+
     /**
      * What is believed of one start of a target.
      *
      * @param limit the limit
+     * @param number the number of the change that has brought it
      * @param heardNanos when this VM last heard of it, on the monotonic clock
      */
-    private record Belief(TargetLimit limit, long heardNanos) {
-        private static final Belief UNKNOWN = new Belief(TargetLimit.NONE, Long.MIN_VALUE / 2);
+    private record Belief(TargetLimit limit, long number, long heardNanos) {
+        private static final Belief UNKNOWN = new Belief(TargetLimit.NONE, 0, Long.MIN_VALUE / 2);
 
         private Belief heardAt(final long nanos) {
-            return new Belief(limit, nanos);
+            return new Belief(limit, number, nanos);
         }
     }
 }
