--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
@@ -67,6 +67,16 @@
         return permits.needed(target);
     }
 
+    /**
+     * Returns how long a request to a target is expected to wait for its turn.
+     *
+     * @param target the start of the target
+     * @return the time, zero if it is not known
+     */
+    public Duration expectedWait(final TargetStart target) {
+        return permits.expectedWait(target);
+    }
+
     /**
      * Waits for the turn of a request.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -21,7 +21,6 @@
 import org.balsambank.core.serving.plan.TeamSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
-import org.balsambank.core.serving.target.TargetStart;
 
 /**
  * Handles one request from its arrival to its final response: route, API key, rate limit, choice of a target, adapter
@@ -52,6 +51,7 @@
     private final CrashGuard crashGuard;
     private final TargetNotices notices;
     private final RequestLog log;
+    private final RequestPermits permits;
     private final Set<TargetId> excluded = new HashSet<>();
     private ResolvedRequest resolved;
     private double units;
@@ -97,6 +97,7 @@
         notices = new TargetNotices(
                 dependencies.targets(), dependencies.limits(), dependencies.metrics(), attributes.id());
         log = new RequestLog(dependencies.log(), attributes);
+        permits = new RequestPermits(dependencies, log);
     }
 
     /** Checks the request and starts the first attempt. */
@@ -220,7 +221,7 @@
             return;
         }
         if (choice.needsLoad() || missingAdapter.isPresent()) {
-            awaitAdapter();
+            withPermit(this::awaitAdapter);
             return;
         }
         paceAndSend(OptionalLong.empty());
@@ -315,7 +316,7 @@
         inFlight = dependencies.inFlight().begin(target, attributes.promptTokens(), attributes.adapter());
         pacingMillis = wait.toMillis();
         if (wait.isZero()) {
-            awaitPermitAndSend(loadedVersion);
+            withPermit(() -> send(loadedVersion));
             return;
         }
         pendingWait = dependencies.timer().after(wait).subscribe(() -> sendAfterPacing(loadedVersion));
@@ -323,7 +324,7 @@
 
     private void sendAfterPacing(final OptionalLong loadedVersion) {
         if (mayStillBeSent()) {
-            awaitPermitAndSend(loadedVersion);
+            withPermit(() -> send(loadedVersion));
         }
     }
 
@@ -343,32 +344,31 @@
         return true;
     }
 
-    /** Sends the request, at its turn if the target limits the requests of all VMs together. */
-    private void awaitPermitAndSend(final OptionalLong loadedVersion) {
-        final TargetStart target = TargetStart.of(choice.target());
-        if (!dependencies.permits().needed(target)) {
-            send(loadedVersion);
+    /** Takes the next step once the request has a permit, if the target limits the requests of all VMs together. */
+    private void withPermit(final Runnable next) {
+        if (!permits.needed(choice.target())) {
+            next.run();
             return;
         }
-        final long sinceNanos = dependencies.timer().nanoTime();
-        pendingWait = dependencies
-                .permits()
-                .await(target, time.remaining())
-                .subscribe(granted -> permitWaitEnded(granted, loadedVersion, sinceNanos));
+        pendingWait = permits.acquire(choice.target(), time).subscribe(granted -> permitWaitEnded(granted, next));
     }
 
-    private void permitWaitEnded(final boolean granted, final OptionalLong loadedVersion, final long sinceNanos) {
+    private void permitWaitEnded(final boolean granted, final Runnable next) {
         if (ended) {
             return;
         }
-        log.permitWaitEnded(choice.target().id(), granted, millisSince(sinceNanos));
-        dependencies.metrics().permit(granted);
-        if (!granted) {
-            cancelAttempt();
-            tryNextTarget();
-        } else if (mayStillBeSent()) {
-            send(loadedVersion);
+        if (granted) {
+            if (mayStillBeSent()) {
+                next.run();
+            }
+            return;
         }
+        cancelAttempt();
+        targetChoices--;
+        if (permits.refusedAgain(choice.target().id())) {
+            excluded.add(choice.target().id());
+        }
+        tryNextTarget();
     }
 
     private void send(final OptionalLong loadedVersion) {
@@ -382,6 +382,7 @@
         if (!mayRun()) {
             return;
         }
+        permits.use();
         attempts++;
         mayHaveExecuted = true;
         sentNanos = now;
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
@@ -210,6 +210,44 @@
         assertTrue(refused < 12, refused + " of 600 refused");
     }
 
+    // Guards against requests that are given up after asking limited targets, though another one would take them.
+    @Test
+    void requestFindsTheOneTargetWithoutALimit() {
+        final TestFleet fleet = new TestFleet(1, DOMAINS, 12);
+        for (int i = 1; i < 12; i++) {
+            limits.put(new TargetId("t" + i), "0.2");
+        }
+        load(fleet, STREAM, 3_000);
+        callers.clear();
+        fleet.start(TestFleet.vm(1));
+        fleet.advance(2_000);
+        for (int i = 0; i < 100; i++) {
+            callers.add(fleet.sendRequest(TestFleet.vm(1), STREAM, Optional.of(TestFleet.adapter(i % 4)), 100 + i));
+            fleet.advance(50);
+            respond(fleet);
+        }
+        fleet.advance(3_000);
+        callers.forEach(caller -> assertEquals(List.of(), caller.rejections));
+    }
+
+    // Guards against adapters that are loaded at a target in need for requests that it then does not take.
+    @Test
+    void adaptersAreNotLoadedAtLimitedTargetsForRequestsWithoutPermit() {
+        final TestFleet fleet = new TestFleet(7, DOMAINS, TARGETS);
+        final TargetId limited = new TargetId("t0");
+        limits.put(limited, "1");
+        load(fleet, STREAM, 3_000);
+        final int before = fleet.targets.get(limited).loadCount();
+        for (int i = 0; i < 600; i++) {
+            callers.add(fleet.sendRequest(TestFleet.vm(i % 7), STREAM, Optional.of(TestFleet.adapter(i)), 100));
+            fleet.advance(STEP_MILLIS);
+            respond(fleet);
+        }
+        final int loads = fleet.targets.get(limited).loadCount() - before;
+        assertTrue(loads <= 11, loads + " loads in 6 s");
+        assertEquals(List.of(), broken);
+    }
+
     // Guards against a limit that is heard of by one VM alone: the others learn it without a response of their own.
     @Test
     void vmsTellEachOtherOfALimitAndOfItsEnd() {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
@@ -41,6 +41,7 @@
     private long fence;
     private int slotOverflows;
     private int orderCount;
+    private int loadCount;
 
     public FakeTarget(final TestScheduler clock, final long seed, final int slots, final BaseModel model) {
         this.clock = clock;
@@ -64,6 +65,11 @@
         return orderCount;
     }
 
+    /** Returns how many loads of adapters it has begun. */
+    public int loadCount() {
+        return loadCount;
+    }
+
     public Set<AdapterKey> resident() {
         return resident.keySet();
     }
@@ -114,6 +120,7 @@
             return OrderResult.BUSY;
         }
         sequence++;
+        loadCount++;
         pending.add(adapter);
         if (resident.size() + pending.size() > slots) {
             slotOverflows++;
