Keep a permit whose limit has risen, and name permits to send apart from those of owned targets

A permit was void after any change of the limit, so that a target that names another limit in each response would get few requests. A permit that was issued under a lower limit is safe; only a fall voids it.

TargetPermit stood twice, in core.target and in serving.admission; the latter is SendPermit now.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -22,8 +22,8 @@
 import org.balsambank.core.port.PeerTransport;
 import org.balsambank.core.port.PolledKeyValueStore;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
+import org.balsambank.core.serving.admission.SendPermits;
 import org.balsambank.core.serving.admission.StopWindow;
-import org.balsambank.core.serving.admission.TargetPermits;
 import org.balsambank.core.serving.admission.TeamRateLimiter;
 import org.balsambank.core.serving.choice.EngineLatencyModels;
 import org.balsambank.core.serving.choice.TargetChooser;
@@ -143,7 +143,7 @@
         registerGauges(registry, crashTracker);
         final ColdTargetLimiter cold =
                 new ColdTargetLimiter(timer, members, settings.coldOverage(), settings.coldSlack());
-        final TargetPermits permits = new TargetPermits(limits, members, timer);
+        final SendPermits permits = new SendPermits(limits, members, timer);
         reader = new ReplicaReader(
                 store, replica, new PeerEntrySource(peers, members, replica, random), this, timer, log);
         digests = createDigestExchange(new AggregationTree(self, settings.domain()), rateLimiter, crashTracker, random);
@@ -189,7 +189,7 @@
     private TargetChooser createChooser(
             final FailureDomain domain,
             final ColdTargetLimiter cold,
-            final TargetPermits permits,
+            final SendPermits permits,
             final SplittableRandom random) {
         return new TargetChooser(
                 targets, inFlight, residency, placement, performance, latency, cold, permits, domain, timer, random);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TargetPermit.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermit.java
@@ -13,15 +13,15 @@
  * @param delay the time until the permit may be used; without one, the time until one can be had
  * @param limit the limit under which it was decided
  */
-public record TargetPermit(boolean granted, Duration delay, TargetLimit limit) {
+public record SendPermit(boolean granted, Duration delay, TargetLimit limit) {
     /**
      * Returns a permit that may be used at once.
      *
      * @param limit the limit
      * @return the permit
      */
-    public static TargetPermit immediate(final TargetLimit limit) {
-        return new TargetPermit(true, Duration.ZERO, limit);
+    public static SendPermit immediate(final TargetLimit limit) {
+        return new SendPermit(true, Duration.ZERO, limit);
     }
 
     /**
@@ -31,7 +31,7 @@
      * @param limit the limit
      * @return the refusal
      */
-    public static TargetPermit refused(final Duration delay, final TargetLimit limit) {
-        return new TargetPermit(false, delay, limit);
+    public static SendPermit refused(final Duration delay, final TargetLimit limit) {
+        return new SendPermit(false, delay, limit);
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/TargetPermits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermits.java
@@ -20,7 +20,7 @@
  * they have been used. A VM without reports from some of the others issues only the share of the VMs that it has
  * reports from, as the others may have an issuer of their own. Confined to the decision loop.
  */
-public final class TargetPermits {
+public final class SendPermits {
     /** The longest time that a request waits for its turn. */
     public static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
@@ -44,7 +44,7 @@
      * @param fleet the size of the fleet
      * @param timer the timer service
      */
-    public TargetPermits(final TargetLimits limits, final FleetView fleet, final TimerService timer) {
+    public SendPermits(final TargetLimits limits, final FleetView fleet, final TimerService timer) {
         this.limits = Objects.requireNonNull(limits);
         this.fleet = Objects.requireNonNull(fleet);
         this.timer = Objects.requireNonNull(timer);
@@ -57,11 +57,11 @@
      * @param maxWait the longest time that the request can wait
      * @return the permit, for at most {@link #MAX_WAIT} from now, or a refusal
      */
-    public TargetPermit issue(final TargetStart target, final Duration maxWait) {
+    public SendPermit issue(final TargetStart target, final Duration maxWait) {
         final TargetLimit limit = limits.of(target);
         if (!limit.limited()) {
             issued.remove(target);
-            return TargetPermit.immediate(limit);
+            return SendPermit.immediate(limit);
         }
         issued.keySet().removeIf(each -> !limits.of(each).limited());
         final double perSecond = Math.max(MIN_PER_SECOND, limit.perSecond());
@@ -71,10 +71,10 @@
         permits.fill(limit, new RateLimit(RateUnit.REQUESTS, perSecond * share, burst(perSecond)), now);
         final Duration wait = untilOne(permits.bucket);
         if (wait.compareTo(MAX_WAIT) > 0 || wait.compareTo(maxWait) > 0) {
-            return TargetPermit.refused(wait, limit);
+            return SendPermit.refused(wait, limit);
         }
         permits.bucket.take(1);
-        return new TargetPermit(true, wait, limit);
+        return new SendPermit(true, wait, limit);
     }
 
     /** Stops issuing permits of a target, as another VM does so. */
@@ -88,7 +88,7 @@
      * @param target the start of the target
      * @param permit the answer
      */
-    public void recordAnswer(final TargetStart target, final TargetPermit permit) {
+    public void recordAnswer(final TargetStart target, final SendPermit permit) {
         nextNanos.keySet().removeIf(each -> !limits.of(each).limited());
         if (!permit.limit().limited()) {
             return;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -13,7 +13,7 @@
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.serving.admission.ColdTargetLimiter;
-import org.balsambank.core.serving.admission.TargetPermits;
+import org.balsambank.core.serving.admission.SendPermits;
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.Placement;
 import org.balsambank.core.serving.placement.ResidencyTable;
@@ -51,7 +51,7 @@
     private final TargetPerformance performance;
     private final EngineLatencyModels latencyModels;
     private final ColdTargetLimiter coldTargetLimiter;
-    private final TargetPermits permits;
+    private final SendPermits permits;
     private final FailureDomain domain;
     private final TimerService timer;
     private final RandomGenerator random;
@@ -79,7 +79,7 @@
             final TargetPerformance performance,
             final EngineLatencyModels latencyModels,
             final ColdTargetLimiter coldTargetLimiter,
-            final TargetPermits permits,
+            final SendPermits permits,
             final FailureDomain domain,
             final TimerService timer,
             final RandomGenerator random) {
@@ -108,7 +108,7 @@
         final List<TargetState> candidates = new ArrayList<>();
         for (final TargetState state : targets.usable(required.service().name())) {
             if (!excluded.contains(state.announcement().id())
-                    && expectedWait(state).compareTo(TargetPermits.MAX_WAIT) <= 0
+                    && expectedWait(state).compareTo(SendPermits.MAX_WAIT) <= 0
                     && accepts(required.service(), state, now)) {
                 candidates.add(state);
             }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
@@ -7,8 +7,8 @@
 import io.reactivex.rxjava3.core.Single;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.port.PeerTransport;
-import org.balsambank.core.serving.admission.TargetPermit;
-import org.balsambank.core.serving.admission.TargetPermits;
+import org.balsambank.core.serving.admission.SendPermit;
+import org.balsambank.core.serving.admission.SendPermits;
 import org.balsambank.core.serving.target.TargetLimits;
 import org.balsambank.core.serving.target.TargetStart;
 import org.balsambank.core.time.TimerService;
@@ -26,12 +26,12 @@
     /** How late a permit may be used; later, this VM was suspended and the permit may be counted in another span. */
     private static final Duration VALIDITY = Duration.ofMillis(250);
     /** Without an issuer, requests go elsewhere until the longest wait for a permit is near again. */
-    private static final Duration RETRY_DELAY = TargetPermits.MAX_WAIT.plusMillis(300);
+    private static final Duration RETRY_DELAY = SendPermits.MAX_WAIT.plusMillis(300);
 
     private final PeerTransport peers;
     private final FleetMembers members;
     private final TargetLimits limits;
-    private final TargetPermits permits;
+    private final SendPermits permits;
     private final TimerService timer;
 
     /**
@@ -47,7 +47,7 @@
             final PeerTransport peers,
             final FleetMembers members,
             final TargetLimits limits,
-            final TargetPermits permits,
+            final SendPermits permits,
             final TimerService timer) {
         this.peers = Objects.requireNonNull(peers);
         this.members = Objects.requireNonNull(members);
@@ -94,27 +94,27 @@
         });
     }
 
-    private Single<Boolean> afterWait(final TargetStart target, final TargetPermit permit) {
+    private Single<Boolean> afterWait(final TargetStart target, final SendPermit permit) {
         final long dueNanos = timer.nanoTime() + permit.delay().toNanos();
         return timer.after(permit.delay()).andThen(Single.defer(() -> usedInTime(target, permit, dueNanos, VALIDITY)));
     }
 
-    /** Returns whether a permit is granted and neither too old nor issued under another limit. */
+    /** Returns whether a permit is granted and neither too old nor issued under a higher limit. */
     private Single<Boolean> usedInTime(
-            final TargetStart target, final TargetPermit permit, final long dueNanos, final Duration grace) {
+            final TargetStart target, final SendPermit permit, final long dueNanos, final Duration grace) {
         final boolean late = timer.nanoTime() - dueNanos > grace.toNanos();
-        return Single.just(permit.granted() && !late && limits.of(target).equals(permit.limit()));
+        return Single.just(permit.granted() && !late && !limits.of(target).stricterThan(permit.limit()));
     }
 
-    private Single<TargetPermit> acquire(final TargetStart target, final Duration maxWait) {
+    private Single<SendPermit> acquire(final TargetStart target, final Duration maxWait) {
         final VmId issuer = members.firstFor(target.target().value());
-        final Single<TargetPermit> answer = issuer.equals(members.self())
+        final Single<SendPermit> answer = issuer.equals(members.self())
                 ? Single.fromCallable(() -> permits.issue(target, maxWait))
                 : ask(issuer, target, maxWait);
         return answer.doOnSuccess(permit -> permits.recordAnswer(target, permit));
     }
 
-    private Single<TargetPermit> ask(final VmId issuer, final TargetStart target, final Duration maxWait) {
+    private Single<SendPermit> ask(final VmId issuer, final TargetStart target, final Duration maxWait) {
         final PermitAsk ask = PermitAsk.newBuilder()
                 .setLimit(DigestCodec.limit(limits.report(target)))
                 .setMaxWaitMillis((int) Math.max(0, maxWait.toMillis()))
@@ -122,22 +122,22 @@
         return peers.call(issuer, FleetMethods.PERMIT, ask, TIMEOUT)
                 .map(answer -> {
                     learn(DigestCodec.limit(answer.getLimit()), issuer);
-                    return new TargetPermit(
+                    return new SendPermit(
                             answer.getGranted(), Duration.ofMillis(answer.getWaitMillis()), limits.of(target));
                 })
-                .onErrorReturn(error -> TargetPermit.refused(RETRY_DELAY, limits.of(target)));
+                .onErrorReturn(error -> SendPermit.refused(RETRY_DELAY, limits.of(target)));
     }
 
     private PermitAnswer serve(final VmId from, final PermitAsk ask) {
         final TargetLimits.Report known = DigestCodec.limit(ask.getLimit());
         final TargetStart target = known.start();
         learn(known, from);
-        final TargetPermit permit;
+        final SendPermit permit;
         if (members.isFirstFor(target.target().value())) {
             permit = permits.issue(target, Duration.ofMillis(ask.getMaxWaitMillis()));
         } else {
             permits.forget(target);
-            permit = TargetPermit.refused(RETRY_DELAY, limits.of(target));
+            permit = SendPermit.refused(RETRY_DELAY, limits.of(target));
         }
         return PermitAnswer.newBuilder()
                 .setGranted(permit.granted())
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimit.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimit.java
@@ -76,7 +76,7 @@
      * @param other the other limit
      * @return true if it is lower
      */
-    boolean stricterThan(final TargetLimit other) {
+    public boolean stricterThan(final TargetLimit other) {
         return perSecond < other.perSecond;
     }
 }
