--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/TargetNotice.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/port/TargetNotice.java
@@ -1,4 +1,4 @@
-package org.balsambank.core.serving.request;
+package org.balsambank.core.port;
 
 import java.util.List;
 import java.util.Objects;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermit.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermit.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import org.balsambank.core.serving.target.TargetLimit;
+import org.balsambank.core.target.TargetLimit;
 
 /**
  * The answer to the request for a permit to send one request to a target that limits its requests.
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/admission/SendPermits.java
@@ -6,10 +6,9 @@
 import java.util.Objects;
 
 import org.balsambank.core.catalogue.RateLimit;
-import org.balsambank.core.catalogue.RateUnit;
-import org.balsambank.core.serving.target.TargetLimit;
 import org.balsambank.core.serving.target.TargetLimits;
 import org.balsambank.core.serving.target.TargetStart;
+import org.balsambank.core.target.TargetLimit;
 import org.balsambank.core.time.TimerService;
 
 /**
@@ -25,10 +24,6 @@
     public static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
     private static final long MILLIS_PER_SECOND = 1_000;
-    private static final double BURST_SECONDS = 0.25;
-    /** A target that takes no requests at all gets one now and then, as only a response ends a limit. */
-    private static final double MIN_PER_SECOND = 0.05;
-
     private static final Duration MAX_RETRY = Duration.ofMinutes(1);
 
     private final TargetLimits limits;
@@ -64,11 +59,12 @@
             return SendPermit.immediate(limit);
         }
         issued.keySet().removeIf(each -> !limits.of(each).limited());
-        final double perSecond = Math.max(MIN_PER_SECOND, limit.perSecond());
+        final RateLimit rate = limit.rate();
         final double share = Math.min(1, (double) fleet.reachableVms() / Math.max(1, fleet.vms()));
         final long now = timer.nanoTime();
-        final Issued permits = issued.computeIfAbsent(target, ignored -> new Issued(limit, bucket(perSecond, now)));
-        permits.fill(limit, new RateLimit(RateUnit.REQUESTS, perSecond * share, burst(perSecond)), now);
+        final Issued permits = issued.computeIfAbsent(
+                target, ignored -> new Issued(limit, new DebtBucket(rate, firstLevel(rate), now)));
+        permits.fill(limit, new RateLimit(rate.unit(), rate.perSecond() * share, rate.burst()), now);
         final Duration wait = untilOne(permits.bucket);
         if (wait.compareTo(MAX_WAIT) > 0 || wait.compareTo(maxWait) > 0) {
             return SendPermit.refused(wait, limit);
@@ -93,7 +89,7 @@
         if (!permit.limit().limited()) {
             return;
         }
-        final double perSecond = Math.max(MIN_PER_SECOND, permit.limit().perSecond());
+        final double perSecond = permit.limit().rate().perSecond();
         final long interval = permit.granted() ? (long) (Duration.ofSeconds(1).toNanos() / perSecond) : 0;
         nextNanos.put(target, timer.nanoTime() + permit.delay().toNanos() + interval);
     }
@@ -122,18 +118,9 @@
         return limits.of(target).limited();
     }
 
-    private static DebtBucket bucket(final double perSecond, final long now) {
-        return new DebtBucket(
-                new RateLimit(RateUnit.REQUESTS, perSecond, burst(perSecond)), firstLevel(perSecond), now);
-    }
-
     /** Returns the level of a bucket that has a permit once all those of an earlier issuer have been used. */
-    private static double firstLevel(final double perSecond) {
-        return 1 - perSecond * MAX_WAIT.toSeconds();
-    }
-
-    private static double burst(final double perSecond) {
-        return 1 + perSecond * BURST_SECONDS;
+    private static double firstLevel(final RateLimit rate) {
+        return 1 - rate.perSecond() * MAX_WAIT.toSeconds();
     }
 
     private static Duration untilOne(final DebtBucket bucket) {
@@ -161,8 +148,7 @@
             bucket.replaceLimit(rate);
             if (!current.equals(limit)) {
                 limit = current;
-                final double level = firstLevel(Math.max(MIN_PER_SECOND, current.perSecond()));
-                bucket.take(Math.min(0, bucket.level() - level));
+                bucket.take(Math.min(0, bucket.level() - firstLevel(current.rate())));
             }
         }
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/ResponseHead.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.balsambank.core.serving.request;
 
+import org.balsambank.core.port.TargetNotice;
+
 /**
  * The parts of a target's response head that retry and forwarding decisions use.
  *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimits.java
@@ -14,14 +14,13 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.target.LimitBelief;
+import org.balsambank.core.target.TargetLimit;
 import org.balsambank.core.time.TimerService;
 
 /**
  * The limits that targets have named in their responses.
  *
- * <p>Responses may overtake each other. A lower limit is therefore believed at once, a higher one or the end of a limit
- * only if the request was sent after the last response that named the lower one.
- *
  * <p>VMs tell each other of changes. Each change that a VM hears from a target gets a number above that of the change
  * before; of two changes with the same number, the lower limit is believed. Confined to the decision loop.
  */
@@ -33,7 +32,7 @@
     private final TargetTable targets;
     private final TimerService timer;
     private final DecisionLog log;
-    private final Map<TargetStart, Belief> beliefs = new LinkedHashMap<>();
+    private final Map<TargetStart, LimitBelief> beliefs = new LinkedHashMap<>();
     private final Map<TargetId, String> unreadable = new HashMap<>();
     private final Set<TargetStart> changed = new HashSet<>();
 
@@ -69,16 +68,13 @@
         if (named.isEmpty() || !isCurrent(start)) {
             return false;
         }
-        final Belief previous = beliefs.getOrDefault(start, Belief.UNKNOWN);
-        final long now = timer.nanoTime();
-        if (named.get().equals(previous.limit)) {
-            beliefs.computeIfPresent(start, (key, belief) -> belief.heardAt(now));
-            return false;
-        }
-        if (!named.get().stricterThan(previous.limit) && sentNanos - previous.heardNanos < 0) {
+        final LimitBelief previous = belief(start);
+        final Optional<LimitBelief> believed = previous.afterResponse(named.get(), sentNanos, timer.nanoTime());
+        if (believed.isEmpty() || believed.get().number() == previous.number()) {
+            believed.ifPresent(same -> beliefs.put(start, same));
             return false;
         }
-        believe(start, new Belief(named.get(), previous.number + 1, now), request.value());
+        believe(start, believed.get(), request.value());
         changed.add(start);
         return true;
     }
@@ -91,11 +87,9 @@
      * @return true if this VM did not know it; if so, the caller passes the report on to the other VMs
      */
     public boolean recordReport(final Report report, final VmId from) {
-        final Belief previous = beliefs.getOrDefault(report.start(), Belief.UNKNOWN);
-        final boolean newer = report.number() > previous.number
-                || report.number() == previous.number && report.limit().stricterThan(previous.limit);
+        final boolean newer = belief(report.start()).olderThan(report.limit(), report.number());
         if (newer) {
-            believe(report.start(), new Belief(report.limit(), report.number(), timer.nanoTime()), from.value());
+            believe(report.start(), new LimitBelief(report.limit(), report.number(), timer.nanoTime()), from.value());
         }
         return newer;
     }
@@ -132,16 +126,16 @@
      * @return what this VM knows of its limit
      */
     public Report report(final TargetStart start) {
-        final Belief belief = beliefs.getOrDefault(start, Belief.UNKNOWN);
-        return new Report(start, belief.limit, belief.number);
+        final LimitBelief belief = belief(start);
+        return new Report(start, belief.limit(), belief.number());
     }
 
-    private void believe(final TargetStart start, final Belief belief, final String source) {
-        final boolean differs = !belief.limit.equals(of(start));
-        removeOld(belief.heardNanos);
+    private void believe(final TargetStart start, final LimitBelief belief, final String source) {
+        final boolean differs = !belief.limit().equals(of(start));
+        removeOld(belief.heardNanos());
         beliefs.put(start, belief);
         if (differs) {
-            logChange(start, belief.limit, source);
+            logChange(start, belief.limit(), source);
         }
     }
 
@@ -164,7 +158,7 @@
      * @return the limit that it has named last
      */
     public TargetLimit of(final TargetStart start) {
-        return beliefs.getOrDefault(start, Belief.UNKNOWN).limit;
+        return belief(start).limit();
     }
 
     /**
@@ -174,10 +168,14 @@
      */
     public long limitedTargets() {
         return beliefs.entrySet().stream()
-                .filter(each -> each.getValue().limit.limited() && isCurrent(each.getKey()))
+                .filter(each -> each.getValue().limit().limited() && isCurrent(each.getKey()))
                 .count();
     }
 
+    private LimitBelief belief(final TargetStart start) {
+        return beliefs.getOrDefault(start, LimitBelief.UNKNOWN);
+    }
+
     private boolean isCurrent(final TargetStart start) {
         return targets.find(start.target())
                 .filter(state -> TargetStart.of(state.announcement()).equals(start))
@@ -186,7 +184,8 @@
 
     private void removeOld(final long now) {
         beliefs.entrySet()
-                .removeIf(each -> !isCurrent(each.getKey()) && now - each.getValue().heardNanos > RETENTION_NANOS);
+                .removeIf(each ->
+                        !isCurrent(each.getKey()) && now - each.getValue().heardNanos() > RETENTION_NANOS);
         unreadable.keySet().removeIf(target -> targets.find(target).isEmpty());
     }
 
@@ -220,19 +219,4 @@
      * @param number the number of the change that has brought it, 0 if there was none
      */
     public record Report(TargetStart start, TargetLimit limit, long number) {}
-
-    /**
-     * What is believed of one start of a target.
-     *
-     * @param limit the limit
-     * @param number the number of the change that has brought it
-     * @param heardNanos when this VM last heard of it, on the monotonic clock
-     */
-    private record Belief(TargetLimit limit, long number, long heardNanos) {
-        private static final Belief UNKNOWN = new Belief(TargetLimit.NONE, 0, Long.MIN_VALUE / 2);
-
-        private Belief heardAt(final long nanos) {
-            return new Belief(limit, number, nanos);
-        }
-    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetState.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetState.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 
+import org.balsambank.core.target.LeavingMark;
+import org.balsambank.core.target.PauseMark;
+
 /**
  * The state of one target as known to this VM.
  *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetTable.java
@@ -16,6 +16,8 @@
 import org.balsambank.core.id.ServiceName;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.target.LeavingMark;
+import org.balsambank.core.target.PauseMark;
 import org.balsambank.core.time.TimerService;
 
 /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/LeavingMark.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/LeavingMark.java
@@ -1,4 +1,4 @@
-package org.balsambank.core.serving.target;
+package org.balsambank.core.target;
 
 /**
  * Whether one start of a target has said in a response that it leaves.
@@ -10,10 +10,14 @@
  */
 public record LeavingMark(boolean set) {
     /** No response has said so. */
-    static final LeavingMark NONE = new LeavingMark(false);
+    public static final LeavingMark NONE = new LeavingMark(false);
 
-    /** Returns the mark after a response that says so. */
-    LeavingMark withNotice() {
+    /**
+     * Returns the mark after a response that says so.
+     *
+     * @return a mark that is set
+     */
+    public LeavingMark withNotice() {
         return new LeavingMark(true);
     }
 
@@ -21,8 +25,9 @@
      * Returns the mark after a new announcement of the target.
      *
      * @param restarted whether it is of another start
+     * @return this mark, or none after a restart
      */
-    LeavingMark afterAnnouncement(final boolean restarted) {
+    public LeavingMark afterAnnouncement(final boolean restarted) {
         return restarted ? NONE : this;
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/PauseMark.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/PauseMark.java
@@ -1,4 +1,4 @@
-package org.balsambank.core.serving.target;
+package org.balsambank.core.target;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -14,7 +14,7 @@
  */
 public record PauseMark(long untilNanos, boolean any) {
     /** The target has never asked for a pause. */
-    static final PauseMark NONE = new PauseMark(0, false);
+    public static final PauseMark NONE = new PauseMark(0, false);
 
     private static final Duration MAX_PAUSE = Duration.ofDays(1);
     private static final long RETURN_NANOS = Duration.ofSeconds(1).toNanos();
@@ -26,7 +26,7 @@
      * @param seconds seconds, whole or with a fraction
      * @return the time, at most a day; empty if it can't be read or is negative
      */
-    static Optional<Duration> parse(final String seconds) {
+    public static Optional<Duration> parse(final String seconds) {
         try {
             final double value = Double.parseDouble(seconds.trim());
             if (Double.isNaN(value) || value < 0) {
@@ -39,8 +39,14 @@
         }
     }
 
-    /** Returns the mark after a further rejection; a pause is never shortened. */
-    PauseMark withPause(final long nowNanos, final Duration pause) {
+    /**
+     * Returns the mark after a further rejection; a pause is never shortened.
+     *
+     * @param nowNanos the current monotonic time
+     * @param pause the time for which the target wants no requests
+     * @return the mark
+     */
+    public PauseMark withPause(final long nowNanos, final Duration pause) {
         final long until = nowNanos + pause.toNanos();
         return any && untilNanos - until > 0 ? this : new PauseMark(until, true);
     }
@@ -49,13 +55,19 @@
      * Returns the mark after a new announcement of the target.
      *
      * @param restarted whether it is of another start
+     * @return this mark, or none after a restart
      */
-    PauseMark afterAnnouncement(final boolean restarted) {
+    public PauseMark afterAnnouncement(final boolean restarted) {
         return restarted ? NONE : this;
     }
 
-    /** Returns the time until the pause ends, zero if there is none. */
-    Duration remaining(final long nowNanos) {
+    /**
+     * Returns the time until the pause ends.
+     *
+     * @param nowNanos the current monotonic time
+     * @return the time, zero if there is no pause
+     */
+    public Duration remaining(final long nowNanos) {
         return any && untilNanos - nowNanos > 0 ? Duration.ofNanos(untilNanos - nowNanos) : Duration.ZERO;
     }
 
@@ -66,7 +78,7 @@
      * @param slots the slots of the target
      * @return 0 during a pause, then rising; unlimited without a recent pause
      */
-    int maxInFlight(final long nowNanos, final int slots) {
+    public int maxInFlight(final long nowNanos, final int slots) {
         final long sinceEnd = nowNanos - untilNanos;
         if (!any || sinceEnd >= RETURN_NANOS) {
             return Integer.MAX_VALUE;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/target/TargetLimit.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/TargetLimit.java
@@ -1,10 +1,13 @@
-package org.balsambank.core.serving.target;
+package org.balsambank.core.target;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
+import org.balsambank.core.catalogue.RateLimit;
+import org.balsambank.core.catalogue.RateUnit;
+
 /**
  * The requests a second that a target takes from all VMs together.
  *
@@ -16,6 +19,10 @@
     /** The target names no limit. */
     public static final TargetLimit NONE = new TargetLimit(Double.POSITIVE_INFINITY);
 
+    private static final double BURST_SECONDS = 0.25;
+    /** A target that takes no requests at all gets one now and then, as only a response ends a limit. */
+    private static final double MIN_PER_SECOND = 0.05;
+
     private static final Pattern DECIMAL = Pattern.compile("\\d+(\\.\\d*)?|\\.\\d+");
 
     /** Checks the range. */
@@ -31,7 +38,7 @@
      * @param values the values, each a decimal number or several of them with commas between
      * @return the lowest of those that can be read, {@link #NONE} if there are no values; empty if none can be read
      */
-    static Optional<TargetLimit> parse(final List<String> values) {
+    public static Optional<TargetLimit> parse(final List<String> values) {
         if (values.isEmpty()) {
             return Optional.of(NONE);
         }
@@ -47,7 +54,7 @@
      * @param values the values
      * @return false if one of them is not a decimal number
      */
-    static boolean allReadable(final List<String> values) {
+    public static boolean allReadable(final List<String> values) {
         return parts(values).allMatch(TargetLimit::readable);
     }
 
@@ -79,4 +86,14 @@
     public boolean stricterThan(final TargetLimit other) {
         return perSecond < other.perSecond;
     }
+
+    /**
+     * Returns the rate at which requests are sent to a target with a limit.
+     *
+     * @return the rate and a small burst, in requests
+     */
+    public RateLimit rate() {
+        final double rate = Math.max(MIN_PER_SECOND, perSecond);
+        return new RateLimit(RateUnit.REQUESTS, rate, 1 + rate * BURST_SECONDS);
+    }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -6,11 +6,11 @@
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.OutgoingAttempt;
 import org.balsambank.core.serving.request.ResponseHead;
-import org.balsambank.core.serving.request.TargetNotice;
 import org.balsambank.core.serving.request.TargetSender;
 
 /**
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TestDialect.java
@@ -10,10 +10,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.id.RequestId;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.serving.request.OutgoingAttempt;
 import org.balsambank.core.serving.request.RequestAttributes;
 import org.balsambank.core.serving.request.ResponseHead;
-import org.balsambank.core.serving.request.TargetNotice;
 import org.balsambank.gateway.Dialect;
 
 /**
