Heed on the product's own interface what targets say of themselves

Callers would see requests run at or be refused by targets that had said so.

Change: the dispatcher passes the notice of a head or of a rejection to the permit, and OwnedTargetMarks decides with the marks that the platform's path uses. The owner of a target sends all its requests, so a token bucket there holds for the fleet. The stand-in engine says all three on demand.

--- a/balsambank-core/src/main/java/org/balsambank/core/port/TargetException.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/port/TargetException.java
@@ -11,6 +11,8 @@
     private static final long serialVersionUID = 1L;
 
     private final Reason reason;
+    /** Not serializable; lost if the exception is. */
+    private final transient TargetNotice notice;
 
     /**
      * Creates an exception.
@@ -19,8 +21,20 @@
      * @param message the message for the log
      */
     public TargetException(final Reason reason, final String message) {
+        this(reason, message, TargetNotice.NONE);
+    }
+
+    /**
+     * Creates an exception for a rejection.
+     *
+     * @param reason why the call failed
+     * @param message the message for the log
+     * @param notice what the target says of itself in the rejection
+     */
+    public TargetException(final Reason reason, final String message, final TargetNotice notice) {
         super(message);
         this.reason = Objects.requireNonNull(reason);
+        this.notice = Objects.requireNonNull(notice);
     }
 
     /**
@@ -32,6 +46,15 @@
         return reason;
     }
 
+    /**
+     * Returns what the target says of itself.
+     *
+     * @return the notice, {@link TargetNotice#NONE} if there was no response
+     */
+    public TargetNotice notice() {
+        return notice == null ? TargetNotice.NONE : notice;
+    }
+
     /** The cause of a failed call. */
     public enum Reason {
         /** The connection was refused; no byte of the call reached the target. */
--- a/balsambank-core/src/main/java/org/balsambank/core/request/RelayDispatcher.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/request/RelayDispatcher.java
@@ -27,6 +27,7 @@
 import org.balsambank.core.port.PeerHandler;
 import org.balsambank.core.port.PeerTransport;
 import org.balsambank.core.port.TargetClient;
+import org.balsambank.core.port.TargetException;
 import org.balsambank.core.target.AdmissionRequest;
 import org.balsambank.core.target.TargetGate;
 import org.balsambank.core.target.TargetOutcome;
@@ -45,6 +46,7 @@
  * withdrawn, or without the current epoch of the target's partition. Confined to the decision loop.
  */
 public final class RelayDispatcher implements PeerHandler<RelayRequest, RelayEvent> {
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final String QUEUE_SPAN = "queue";
     private static final String TARGET_HEADER = "X-Balsambank-Target";
     private static final String ADAPTER_HEADER = "X-Balsambank-Adapter";
@@ -155,6 +157,8 @@
                     .setTraceParent(Spans.traceParent(span, request.getTraceParent()))
                     .build();
             return client.send(target, epoch.get(), sent)
+                    .doOnNext(event -> recordNotice(event, permit))
+                    .doOnError(error -> recordNotice(error, permit))
                     .map(this::withTargetHeaders)
                     .doOnNext(event -> state.streaming())
                     .takeUntil(deadline(ErrorKind.DEADLINE_DURING_RUN).toFlowable())
@@ -164,6 +168,19 @@
                     .doFinally(span::end);
         }
 
+        private void recordNotice(final RelayEvent event, final TargetPermit permit) {
+            if (event.hasHead()) {
+                permit.noticed(
+                        NoticeHeaders.read(event.getHead()), event.getHead().getStatus() == SERVICE_UNAVAILABLE);
+            }
+        }
+
+        private void recordNotice(final Throwable error, final TargetPermit permit) {
+            if (error instanceof TargetException rejection && rejection.reason() == TargetException.Reason.REFUSED) {
+                permit.noticed(rejection.notice(), true);
+            }
+        }
+
         private RelayEvent withTargetHeaders(final RelayEvent event) {
             if (!event.hasHead()) {
                 return event;
--- a/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
@@ -17,6 +17,7 @@
 import org.balsambank.core.id.PartitionId;
 import org.balsambank.core.invariant.Invariant;
 import org.balsambank.core.partition.Ownership.SubjectKind;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.port.TargetReport;
 
 /**
@@ -48,6 +49,7 @@
     private final SlowStart slowStart;
     private final CrashDetector crashDetector;
     private final TargetEpoch epoch;
+    private final OwnedTargetMarks marks;
 
     private Target target;
     private boolean inService = true;
@@ -76,6 +78,7 @@
         this.slowStart = new SlowStart(target.concurrency());
         this.crashDetector = new CrashDetector(target.id(), context);
         this.epoch = new TargetEpoch(context.ownership(), partition, context.timers());
+        this.marks = new OwnedTargetMarks(target.id());
     }
 
     /**
@@ -279,6 +282,7 @@
     private void restart() {
         LOGGER.atInfo().log("event=target_restarted target=%s", target.id());
         context.meters().restarted();
+        marks.restarted();
         slowStart.restart();
         externalLoad.reset();
         residency.restarted();
@@ -326,6 +330,11 @@
         if (queue.size() >= Math.max(MIN_QUEUE_LIMIT, QUEUED_PER_PERMIT * slowStart.limit())) {
             return Optional.of(error(ErrorKind.OVERLOADED));
         }
+        final Duration turn = marks.untilAdmitted(queue.size(), now());
+        if (turn.toNanos() > request.deadlineNanos() - now()) {
+            return Optional.of(new BalsambankException(
+                    ErrorKind.OVERLOADED, "target " + target.id() + " takes no request before the deadline", turn));
+        }
         final Duration delay = request.adapter().map(loader::backoff).orElse(Duration.ZERO);
         if (delay.isNegative() || delay.isZero()) {
             return Optional.empty();
@@ -335,7 +344,7 @@
     }
 
     private Optional<ErrorKind> unavailability() {
-        if (!inService || unreachable) {
+        if (!inService || unreachable || marks.leaving()) {
             return Optional.of(ErrorKind.NO_TARGET);
         }
         return epoch.current().isEmpty() ? Optional.of(ErrorKind.NO_OWNER) : Optional.empty();
@@ -379,7 +388,8 @@
     private boolean grantNextPermit() {
         if (epoch.awaitsReport()
                 || unavailability().isPresent()
-                || inUse + externalLoad.estimate() >= slowStart.limit()) {
+                || inUse + externalLoad.estimate() >= slowStart.limit()
+                || !marks.admits(inUse, target.concurrency(), now())) {
             return false;
         }
         final Optional<QueuedRequest> next = queue.poll(this::ready);
@@ -410,6 +420,7 @@
                             Invariant.PERMITS_WITHIN_LIMIT,
                             () -> "target=" + target.id() + " inUse=" + inUse + " limit=" + slowStart.limit());
             externalLoad.recordInUse(now(), inUse);
+            marks.sent(now());
             queuedRequest.request().adapter().ifPresent(residency::pin);
             context.meters().permit(now() - queuedRequest.queuedSinceNanos(), queuedRequest.needsLoad());
             queuedRequest.emitter().onSuccess(new Permit(queuedRequest));
@@ -476,6 +487,13 @@
             return released || !inService ? Optional.empty() : epoch.current().filter(permitEpoch::equals);
         }
 
+        @Override
+        public void noticed(final TargetNotice notice, final boolean rejected) {
+            if (boot.filter(bootAtStart::equals).isPresent()) {
+                marks.record(notice, rejected, sinceNanos, now());
+            }
+        }
+
         @Override
         public void release(final TargetOutcome outcome) {
             if (!released) {
--- a/balsambank-core/src/main/java/org/balsambank/core/target/TargetPermit.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/TargetPermit.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.TargetNotice;
 
 /**
  * Permission to run one request on one target. It pins the adapter until it is released.
@@ -18,6 +19,14 @@
      */
     Optional<Epoch> epochToSend();
 
+    /**
+     * Records what the response to the request says of the target.
+     *
+     * @param notice what the target says of itself
+     * @param rejected whether it rejects the request and may want no others for a time
+     */
+    void noticed(TargetNotice notice, boolean rejected);
+
     /**
      * Releases the permit. Each holder calls this exactly once; later calls have no effect.
      *
--- a/balsambank-core/src/test/java/org/balsambank/core/request/EntryFixture.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/request/EntryFixture.java
@@ -54,6 +54,7 @@
 import org.balsambank.core.port.PeerHandler;
 import org.balsambank.core.port.PeerMethod;
 import org.balsambank.core.port.PeerTransport;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.target.AdmissionRequest;
 import org.balsambank.core.target.TargetOutcome;
 import org.balsambank.core.target.TargetPermit;
@@ -81,6 +82,7 @@
     final InvariantMonitor invariants = new InvariantMonitor(registry);
     final ScriptedTargets targets = new ScriptedTargets();
     final List<TargetOutcome> released = new ArrayList<>();
+    final List<TargetNotice> notices = new ArrayList<>();
     final List<Double> settled = new ArrayList<>();
     final BehaviorProcessor<Catalogue> catalogues = BehaviorProcessor.createDefault(catalogue(1, List.of(SALT)));
     final InFlightCounter inFlight = new InFlightCounter(registry, "entry");
@@ -125,6 +127,11 @@
                 return epoch;
             }
 
+            @Override
+            public void noticed(final TargetNotice notice, final boolean rejected) {
+                notices.add(notice);
+            }
+
             @Override
             public void release(final TargetOutcome outcome) {
                 released.add(outcome);
--- a/balsambank-core/src/test/java/org/balsambank/core/request/FleetSimulation.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/request/FleetSimulation.java
@@ -49,6 +49,7 @@
 import org.balsambank.core.partition.OwnershipPorts;
 import org.balsambank.core.partition.OwnershipSettings;
 import org.balsambank.core.partition.PartitionOwnership;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.port.VmEntry;
 import org.balsambank.core.target.TargetGate;
 import org.balsambank.core.target.TargetOutcome;
@@ -370,6 +371,9 @@
                             SubjectKind.TARGET, request.target().value()));
                 }
 
+                @Override
+                public void noticed(final TargetNotice notice, final boolean rejected) {}
+
                 @Override
                 public void release(final TargetOutcome outcome) {}
             });
--- a/balsambank-core/src/test/java/org/balsambank/core/request/RequestPipelineTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/request/RequestPipelineTest.java
@@ -10,8 +10,10 @@
 import org.balsambank.core.error.BalsambankException;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.port.TargetException;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.target.TargetOutcome;
 import org.balsambank.protocol.generated.relay.RelayEvent;
+import org.balsambank.protocol.generated.relay.RelayHeader;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -74,6 +76,35 @@
         assertEquals(List.of(TargetOutcome.REFUSED, TargetOutcome.COMPLETED), fixture.released);
     }
 
+    // Guards against LIMIT, DRAIN and BUDGET: what targets say of themselves does not reach the gate of their owner.
+    @Test
+    void gateLearnsWhatTargetsSayOfThemselves() {
+        final TargetNotice pause = new TargetNotice(false, Optional.of("3"), List.of());
+        fixture.targets.script(
+                EntryFixture.FIRST,
+                request -> Flowable.error(new TargetException(TargetException.Reason.REFUSED, "busy", pause)));
+        fixture.targets.script(
+                EntryFixture.SECOND,
+                request -> fixture.targets.completeResponse(request).map(RequestPipelineTest::withLimit));
+        final TestSubscriber<RelayEvent> caller = call(fixture.printRequest("r1", Optional.empty()));
+        fixture.advance(Duration.ofSeconds(1));
+        caller.assertComplete();
+        assertEquals(List.of(pause, new TargetNotice(false, Optional.empty(), List.of("1.5"))), fixture.notices);
+    }
+
+    private static RelayEvent withLimit(final RelayEvent event) {
+        if (!event.hasHead()) {
+            return event;
+        }
+        final RelayHeader limit = RelayHeader.newBuilder()
+                .setName(NoticeHeaders.REQUEST_LIMIT)
+                .setValue("1.5")
+                .build();
+        return event.toBuilder()
+                .setHead(event.getHead().toBuilder().addHeaders(limit))
+                .build();
+    }
+
     @Test
     void neverRetriesNonIdempotentCall() {
         fixture.targets.script(EntryFixture.FIRST, request -> {
--- a/balsambank-core/src/test/java/org/balsambank/core/target/TargetFixture.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/target/TargetFixture.java
@@ -39,6 +39,7 @@
 import org.balsambank.core.invariant.InvariantMonitor;
 import org.balsambank.core.partition.Ownership;
 import org.balsambank.core.port.TargetClient;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.port.TargetReport;
 import org.balsambank.core.time.SchedulerTimerService;
 import org.balsambank.core.time.TimerService;
@@ -63,6 +64,10 @@
     final LocalLoadSlots slots = new LocalLoadSlots(timers, invariants);
     final PoisonRequestRegistry poison = new PoisonRequestRegistry(timers);
     final CrashTrials trials = new LocalCrashTrials(poison);
+    /** What all engines say of themselves in their responses. */
+    TargetNotice notice = TargetNotice.NONE;
+    /** Whether the engines reject all requests. */
+    boolean rejecting;
 
     private final BehaviorProcessor<Catalogue> catalogues;
     private int requests;
@@ -181,9 +186,12 @@
 
     private Single<TargetOutcome> send(final TargetPermit permit, final AdmissionRequest request) {
         return permit.epochToSend()
-                .map(epoch -> engines.get(request.target())
-                        .run(epoch, request.adapter().orElse(null), request.fingerprint()))
-                .orElse(Single.just(TargetOutcome.NOT_SENT));
+                .map(epoch -> rejecting
+                        ? Single.just(TargetOutcome.REFUSED)
+                        : engines.get(request.target())
+                                .run(epoch, request.adapter().orElse(null), request.fingerprint()))
+                .orElse(Single.just(TargetOutcome.NOT_SENT))
+                .doOnSuccess(outcome -> permit.noticed(notice, outcome == TargetOutcome.REFUSED));
     }
 
     private static String kind(final Throwable error) {
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -18,6 +18,7 @@
 import org.balsambank.core.id.Epoch;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
+import org.balsambank.core.request.NoticeHeaders;
 import org.balsambank.core.time.TimerService;
 import org.balsambank.protocol.generated.relay.RelayChunk;
 import org.balsambank.protocol.generated.relay.RelayEnd;
@@ -144,7 +145,10 @@
         if (refusal.isPresent()) {
             received.handler(ignored -> {}).exceptionHandler(ignored -> {});
             received.resume();
-            signalFailure(new TargetException(refusal.get(), "status " + received.statusCode()));
+            signalFailure(new TargetException(
+                    refusal.get(),
+                    "status " + received.statusCode(),
+                    NoticeHeaders.read(TargetHeaders.toRelayHead(received.statusCode(), received.headers()))));
             return;
         }
         received.handler(this::chunkReceived)
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -28,6 +28,7 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
+import org.balsambank.core.port.TargetNotice;
 import org.balsambank.core.port.TargetReport;
 import org.balsambank.core.time.SchedulerTimerService;
 import org.balsambank.core.time.TimerService;
@@ -169,6 +170,17 @@
         status(404, TargetKind.APPLICATION_RUNNER).assertComplete();
     }
 
+    // Guards against BUDGET: the time for which an engine wants no requests gets lost with its rejection.
+    @Test
+    void refusalCarriesWhatTheEngineSaysOfItself() {
+        final TestSubscriber<RelayEvent> refused = call(
+                (socket, request) -> socket.write("HTTP/1.1 503 x\r\nRetry-After: 2.5\r\nX-Leaving: 1\r\n"
+                        + "X-Request-Limit: 3\r\nContent-Length: 0\r\n\r\n"),
+                false);
+        refused.assertError(error ->
+                ((TargetException) error).notice().equals(new TargetNotice(true, Optional.of("2.5"), List.of("3"))));
+    }
+
     @Test
     void sendsRequestHeadersWithoutKey() throws Exception {
         final CompletableFuture<String> seen = new CompletableFuture<>();
--- a/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineServer.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineServer.java
@@ -98,6 +98,12 @@
         if (!id.isEmpty()) {
             call.response().putHeader(REQUEST_ID, id);
         }
+        model.faults().addNotices(call.response());
+        if (!model.faults().pauseSeconds().isEmpty()) {
+            call.response().putHeader("Retry-After", model.faults().pauseSeconds());
+            Answers.error(call, Admission.BUSY.status(), "the engine pauses");
+            return;
+        }
         try {
             final JsonObject body = bodyOf(call);
             final GenerationRequest generation = generationOf(call, body, chat);
--- a/balsambank-standin/src/test/java/org/balsambank/standin/http/StandinServersTest.java
+++ b/balsambank-standin/src/test/java/org/balsambank/standin/http/StandinServersTest.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
@@ -93,6 +94,25 @@
         assertEquals(412, sendOrder("4").statusCode());
     }
 
+    @Test
+    void engineSaysOfItselfWhatAControlOrderAsksFor() throws Exception {
+        send(engine, "/v1/load_lora_adapter", "{\"lora_name\":\"a@1\"}");
+        send(engine, "/control", "{\"leaving\":true,\"requestLimit\":\"1.5\"}");
+        final HttpResponse<String> limited = sendCompletion();
+        assertEquals(200, limited.statusCode());
+        assertEquals(Optional.of("1"), limited.headers().firstValue("X-Leaving"));
+        assertEquals(Optional.of("1.5"), limited.headers().firstValue("X-Request-Limit"));
+        send(engine, "/control", "{\"leaving\":false,\"requestLimit\":\"\",\"pauseSeconds\":\"2\"}");
+        final HttpResponse<String> paused = sendCompletion();
+        assertEquals(503, paused.statusCode());
+        assertEquals(Optional.of("2"), paused.headers().firstValue("Retry-After"));
+        assertEquals(Optional.empty(), paused.headers().firstValue("X-Request-Limit"));
+    }
+
+    private HttpResponse<String> sendCompletion() throws Exception {
+        return send(engine, "/v1/completions", "{\"model\":\"a@1\",\"prompt\":\"p\",\"max_tokens\":1}");
+    }
+
     @Test
     void countsDuplicateRun() throws Exception {
         send(service, "/charge", "{\"id\":\"7\"}");
