--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/TargetChooser.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
@@ -159,10 +160,22 @@
      * @return the time until the first of its targets has a permit, empty if none of them names a limit
      */
     public Optional<Duration> untilPermit(final ServiceSpec service) {
+        return limited(service).map(this::expectedWait).min(Comparator.naturalOrder());
+    }
+
+    /**
+     * Returns the targets of a service that limit their requests.
+     *
+     * @param service the service
+     * @return their ids
+     */
+    public List<TargetId> limitedTargets(final ServiceSpec service) {
+        return limited(service).map(state -> state.announcement().id()).toList();
+    }
+
+    private Stream<TargetState> limited(final ServiceSpec service) {
         return targets.usable(service.name()).stream()
-                .filter(state -> permits.needed(TargetStart.of(state.announcement())))
-                .map(this::expectedWait)
-                .min(Comparator.naturalOrder());
+                .filter(state -> permits.needed(TargetStart.of(state.announcement())));
     }
 
     private Duration expectedWait(final TargetState state) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -365,9 +365,7 @@
         }
         cancelAttempt();
         targetChoices--;
-        if (permits.refusedAgain(choice.target().id())) {
-            excluded.add(choice.target().id());
-        }
+        excluded.addAll(permits.refused(choice.target().id(), resolved.service()));
         tryNextTarget();
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestPermits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestPermits.java
@@ -1,12 +1,15 @@
 package org.balsambank.core.serving.request;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 
 import io.reactivex.rxjava3.core.Single;
 import org.balsambank.core.id.TargetId;
+import org.balsambank.core.serving.plan.ServiceSpec;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 import org.balsambank.core.serving.target.TargetStart;
 
@@ -22,9 +25,12 @@
     /** A request waits this much longer than expected, before it looks for another target. */
     private static final Duration PATIENCE = Duration.ofMillis(250);
 
+    private static final int MAX_REFUSALS = 8;
+
     private final RequestDependencies dependencies;
     private final RequestLog log;
     private final Set<TargetId> refused = new HashSet<>();
+    private int refusals;
     private TargetStart heldFor;
     private long obtainedNanos;
 
@@ -78,9 +84,13 @@
     /**
      * Records that a target has no permit for the request in time.
      *
-     * @return true if it was refused before, so that it should not be asked again
+     * @return the targets that must not be asked again: the target if it was refused before, all that limit their
+     *     requests after several refusals
      */
-    boolean refusedAgain(final TargetId target) {
-        return !refused.add(target);
+    Collection<TargetId> refused(final TargetId target, final ServiceSpec service) {
+        if (++refusals >= MAX_REFUSALS) {
+            return dependencies.chooser().limitedTargets(service);
+        }
+        return refused.add(target) ? List.of() : List.of(target);
     }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
@@ -230,6 +230,22 @@
         callers.forEach(caller -> assertEquals(List.of(), caller.rejections));
     }
 
+    // Guards against a request that asks one limited target after the other until the stack is full.
+    @Test
+    void requestAsksFewOfManyLimitedTargets() {
+        final TestFleet fleet = new TestFleet(1, DOMAINS, 100);
+        for (int i = 0; i < 99; i++) {
+            limits.put(new TargetId("t" + i), "0.5");
+        }
+        load(fleet, STREAM, 4_000);
+        callers.clear();
+        load(fleet, STREAM, 4_000);
+        final long refused =
+                callers.stream().filter(caller -> !caller.rejections.isEmpty()).count();
+        assertEquals(0, refused);
+        assertEquals(List.of(), broken);
+    }
+
     // Guards against adapters that are loaded at a target in need for requests that it then does not take.
     @Test
     void adaptersAreNotLoadedAtLimitedTargetsForRequestsWithoutPermit() {
