--- a/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTarget.java
@@ -32,6 +32,9 @@
 final class OwnedTarget implements LoaderHost {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
+    /** The longest time that a request waits at a target that takes no more for now; others may take it. */
+    private static final Duration MAX_TURN_WAIT = Duration.ofSeconds(1);
+
     private static final int MAX_FAILED_REPORTS = 3;
     private static final int QUEUED_PER_PERMIT = 4;
     private static final int MIN_QUEUE_LIMIT = 8;
@@ -331,9 +334,9 @@
             return Optional.of(error(ErrorKind.OVERLOADED));
         }
         final Duration turn = marks.untilAdmitted(queue.size(), now());
-        if (turn.toNanos() > request.deadlineNanos() - now()) {
+        if (turn.compareTo(MAX_TURN_WAIT) > 0 || turn.toNanos() > request.deadlineNanos() - now()) {
             return Optional.of(new BalsambankException(
-                    ErrorKind.OVERLOADED, "target " + target.id() + " takes no request before the deadline", turn));
+                    ErrorKind.OVERLOADED, "target " + target.id() + " takes no request in time", turn));
         }
         final Duration delay = request.adapter().map(loader::backoff).orElse(Duration.ZERO);
         if (delay.isNegative() || delay.isZero()) {
--- a/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineStats.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/engine/EngineStats.java
@@ -54,6 +54,8 @@
     long fellOver;
     /** Restarts for any reason. */
     long restarts;
+    /** Requests that came although the engine had said that it leaves, or beyond the limit that it had named. */
+    long unheeded;
     /** Calls that carried a key of a caller. */
     long keysSeen;
 
@@ -87,6 +89,7 @@
                 .put("crashes", crashes)
                 .put("fellOver", fellOver)
                 .put("restarts", restarts)
+                .put("unheeded", unheeded)
                 .put("keysSeen", keysSeen);
     }
 }
--- a/balsambank-standin/src/main/java/org/balsambank/standin/load/GuaranteeChecker.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/load/GuaranteeChecker.java
@@ -57,6 +57,10 @@
                 "no team gets more than its rate and burst (units over, worst window)",
                 teams.stream().mapToDouble(TeamMetrics::rateExcess).max().orElse(0));
         expectZero("a cold target gets no more than it bears", targetStats.engineSum("fellOver"));
+        expectZeroIf(
+                wasPerformed(Verb.ENGINE_LIMIT) || wasPerformed(Verb.ENGINE_LEAVING) || wasPerformed(Verb.ENGINE_PAUSE),
+                "an engine gets no more than it says that it takes",
+                targetStats.engineSum("unheeded"));
         expectZeroIf(
                 domains.hasOutages(),
                 "a failure domain taken out gets no new work after " + DomainOutageMetrics.GRACE.toSeconds() + " s",
--- a/balsambank-standin/src/main/java/org/balsambank/standin/load/ScheduledAction.java
+++ b/balsambank-standin/src/main/java/org/balsambank/standin/load/ScheduledAction.java
@@ -32,6 +32,12 @@
         ENGINE_RESTART,
         /** Makes the engine with a number, from 1, as slow as right after a start. */
         ENGINE_COLD,
+        /** Lets the engine with a number, from 1, say that it leaves. */
+        ENGINE_LEAVING,
+        /** Lets an engine name a limit: its number, from 1, an equals sign and the requests a second, or nothing. */
+        ENGINE_LIMIT,
+        /** Lets an engine reject all requests: its number, from 1, an equals sign and the seconds. */
+        ENGINE_PAUSE,
         /** Starts an outage of the key-value service. */
         KV_OUT,
         /** Ends the outage of the key-value service. */
