--- a/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTargetMarks.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/OwnedTargetMarks.java
@@ -18,12 +18,14 @@
 final class OwnedTargetMarks {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final int MAX_LOGGED_CHARS = 40;
 
     private final TargetId target;
     private LeavingMark leaving = LeavingMark.NONE;
     private PauseMark pause = PauseMark.NONE;
     private LimitBelief belief = LimitBelief.UNKNOWN;
     private Optional<TokenBucket> bucket = Optional.empty();
+    private String unreadable = "";
 
     /**
      * Creates the marks of a target that has said nothing.
@@ -62,6 +64,7 @@
     }
 
     private void recordLimit(final List<String> values, final long sentNanos, final long nowNanos) {
+        logUnreadable(values);
         final Optional<LimitBelief> believed =
                 TargetLimit.parse(values).flatMap(named -> belief.afterResponse(named, sentNanos, nowNanos));
         if (believed.isEmpty()) {
@@ -74,6 +77,19 @@
         }
     }
 
+    /** Logs limits that can't be read, once for each text. */
+    private void logUnreadable(final List<String> values) {
+        if (TargetLimit.allReadable(values)) {
+            return;
+        }
+        final String text = String.join(",", values);
+        final String logged = text.substring(0, Math.min(text.length(), MAX_LOGGED_CHARS));
+        if (!logged.equals(unreadable)) {
+            unreadable = logged;
+            LOGGER.atWarning().log("event=target_limit_ignored target=%s value=%s", target, logged);
+        }
+    }
+
     private void limitChanged(final long nowNanos) {
         LOGGER.atInfo().log(
                 "event=target_limited target=%s per_second=%s",
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
@@ -199,9 +199,7 @@
         respond(fleet);
         fleet.advance(500);
         for (int i = 0; i < 600; i++) {
-            callers.add(fleet.sendRequest(TestFleet.vm(i % 7), STREAM, adapter, 100 + i));
-            fleet.advance(STEP_MILLIS);
-            respond(fleet);
+            sendForAdapter(fleet, TestFleet.vm(i % 7), adapter, STEP_MILLIS);
         }
         fleet.advance(1_500);
         assertEquals(List.of(), broken);
@@ -222,9 +220,7 @@
         fleet.start(TestFleet.vm(1));
         fleet.advance(2_000);
         for (int i = 0; i < 100; i++) {
-            callers.add(fleet.sendRequest(TestFleet.vm(1), STREAM, Optional.of(TestFleet.adapter(i % 4)), 100 + i));
-            fleet.advance(50);
-            respond(fleet);
+            sendForAdapter(fleet, TestFleet.vm(1), Optional.of(TestFleet.adapter(i % 4)), 5 * STEP_MILLIS);
         }
         fleet.advance(3_000);
         callers.forEach(caller -> assertEquals(List.of(), caller.rejections));
@@ -255,9 +251,7 @@
         load(fleet, STREAM, 3_000);
         final int before = fleet.targets.get(limited).loadCount();
         for (int i = 0; i < 600; i++) {
-            callers.add(fleet.sendRequest(TestFleet.vm(i % 7), STREAM, Optional.of(TestFleet.adapter(i)), 100));
-            fleet.advance(STEP_MILLIS);
-            respond(fleet);
+            sendForAdapter(fleet, TestFleet.vm(i % 7), Optional.of(TestFleet.adapter(i)), STEP_MILLIS);
         }
         final int loads = fleet.targets.get(limited).loadCount() - before;
         assertTrue(loads <= 11, loads + " loads in 6 s");
@@ -317,6 +311,13 @@
         }
     }
 
+    private void sendForAdapter(
+            final TestFleet fleet, final VmId vm, final Optional<AdapterKey> adapter, final long waitMillis) {
+        callers.add(fleet.sendRequest(vm, STREAM, adapter, 1_000 + ++sent));
+        fleet.advance(waitMillis);
+        respond(fleet);
+    }
+
     private void respond(final TestFleet fleet) {
         final long now = fleet.clock.now(TimeUnit.MILLISECONDS);
         while (seen < fleet.attempts.size()) {
--- a/balsambank-core/src/test/java/org/balsambank/core/target/OwnedTargetNoticeTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/target/OwnedTargetNoticeTest.java
@@ -58,18 +58,17 @@
         run(1);
         fixture.advance(SETTLE_TIME);
         fixture.notice = TargetNotice.NONE;
-        run(1);
-        fixture.advance(SETTLE_TIME);
-        final int before = fixture.engine(0).runs;
-        run(8);
-        fixture.advance(SETTLE_TIME);
-        assertEquals(8, fixture.engine(0).runs - before);
+        assertTakesBurstAfterNextResponse();
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"", "soon", "-1", "NaN", "1e300"})
     void unreadableLimitChangesNothing(final String perSecond) {
         fixture.notice = limited(perSecond);
+        assertTakesBurstAfterNextResponse();
+    }
+
+    private void assertTakesBurstAfterNextResponse() {
         run(1);
         fixture.advance(SETTLE_TIME);
         final int before = fixture.engine(0).runs;
