--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
@@ -155,6 +155,27 @@
         assertEquals(List.of(), broken);
     }
 
+    // Guards against LIMIT: a VM that stops goes on issuing permits to itself, beside the one that does so after it.
+    @ParameterizedTest
+    @CsvSource({"7,8", "7,20", "40,20"})
+    void limitHoldsWhileIssuersStopAndServeOn(final int vms, final String perSecond) {
+        final TestFleet fleet = plainFleet(vms);
+        limits.put(FIRST, perSecond);
+        load(fleet, PLAIN, 4_000);
+        for (int round = 0; round < 3; round++) {
+            final VmId stopping = issuer(fleet, FIRST);
+            fleet.vms.get(stopping).core.handOver().subscribe();
+            for (int i = 0; i < 500; i++) {
+                callers.add(fleet.sendRequest(stopping, PLAIN, Optional.empty(), 1_000 + ++sent));
+                load(fleet, PLAIN, STEP_MILLIS);
+            }
+            fleet.kill(stopping);
+            forget(stopping);
+            load(fleet, PLAIN, 5_000);
+        }
+        assertEquals(List.of(), broken);
+    }
+
     // Guards against LIMIT: VMs that cannot read the store cannot agree on the VM that issues permits.
     @Test
     void limitHoldsWhileTheStoreIsAway() {
