--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/PermitExchange.java
@@ -86,24 +86,27 @@
      */
     public Single<Boolean> await(final TargetStart target, final Duration maxWait) {
         return Single.defer(() -> {
-            final long askedNanos = timer.nanoTime();
-            return acquire(target, maxWait).flatMap(permit -> usedInTime(
-                            target, permit, askedNanos + TIMEOUT.toNanos(), Duration.ZERO)
-                    .flatMap(inTime ->
-                            !inTime || permit.delay().isZero() ? Single.just(inTime) : afterWait(target, permit)));
+            final long latestAnswerNanos = timer.nanoTime() + TIMEOUT.toNanos();
+            return acquire(target, maxWait)
+                    .flatMap(permit ->
+                            valid(target, permit, latestAnswerNanos) ? awaitTurn(target, permit) : Single.just(false));
         });
     }
 
-    private Single<Boolean> afterWait(final TargetStart target, final SendPermit permit) {
-        final long dueNanos = timer.nanoTime() + permit.delay().toNanos();
-        return timer.after(permit.delay()).andThen(Single.defer(() -> usedInTime(target, permit, dueNanos, VALIDITY)));
+    private Single<Boolean> awaitTurn(final TargetStart target, final SendPermit permit) {
+        if (permit.delay().isZero()) {
+            return Single.just(true);
+        }
+        final long latestUseNanos =
+                timer.nanoTime() + permit.delay().plus(VALIDITY).toNanos();
+        return timer.after(permit.delay()).andThen(Single.fromCallable(() -> valid(target, permit, latestUseNanos)));
     }
 
     /** Returns whether a permit is granted and neither too old nor issued under a higher limit. */
-    private Single<Boolean> usedInTime(
-            final TargetStart target, final SendPermit permit, final long dueNanos, final Duration grace) {
-        final boolean late = timer.nanoTime() - dueNanos > grace.toNanos();
-        return Single.just(permit.granted() && !late && !limits.of(target).stricterThan(permit.limit()));
+    private boolean valid(final TargetStart target, final SendPermit permit, final long latestNanos) {
+        return permit.granted()
+                && timer.nanoTime() - latestNanos <= 0
+                && !limits.of(target).stricterThan(permit.limit());
     }
 
     private Single<SendPermit> acquire(final TargetStart target, final Duration maxWait) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -56,7 +56,7 @@
     private ResolvedRequest resolved;
     private double units;
     private Optional<TeamSpec> chargedTeam = Optional.empty();
-    private RequestDeadline time;
+    private RequestDeadline requestDeadline;
     private Disposable deadline = Disposable.disposed();
     private Disposable pendingWait = Disposable.disposed();
     private Disposable verdicts = Disposable.disposed();
@@ -108,8 +108,8 @@
             reject(e.kind(), Optional.empty(), e.getMessage());
             return;
         }
-        time = new RequestDeadline(dependencies.timer(), attributes, resolved.route());
-        if (!dependencies.stopWindow().accepts(time.endNanos())) {
+        requestDeadline = new RequestDeadline(dependencies.timer(), attributes, resolved.route());
+        if (!dependencies.stopWindow().accepts(requestDeadline.endNanos())) {
             reject(ErrorKind.STOPPING, Optional.empty(), "this VM exits before the deadline");
             return;
         }
@@ -119,7 +119,7 @@
         dependencies.retryBudgets().recordRequest(resolved.service().name());
         deadline = dependencies
                 .timer()
-                .after(time.remaining().isNegative() ? Duration.ZERO : time.remaining())
+                .after(requestDeadline.remaining().isNegative() ? Duration.ZERO : requestDeadline.remaining())
                 .subscribe(this::deadlineExpired);
         verdicts = crashGuard.verdicts().subscribe(ignored -> verdictChanged());
         tryNextTarget();
@@ -201,7 +201,7 @@
                 attributes.adapter(),
                 attributes.promptTokens(),
                 attributes.outputTokens(),
-                time.remainingObjectiveMillis(resolved.route()),
+                requestDeadline.remainingObjectiveMillis(resolved.route()),
                 resolved.route().eventGapMillis());
         final Optional<TargetChoice> chosen = dependencies.chooser().choose(required, excluded);
         if (chosen.isEmpty()) {
@@ -212,7 +212,7 @@
             return;
         }
         choice = chosen.get();
-        if (time.cannotBeMet(resolved.route(), choice.estimateMillis())) {
+        if (requestDeadline.cannotBeMet(resolved.route(), choice.estimateMillis())) {
             reject(
                     ErrorKind.OVERLOADED,
                     Optional.of(RetryAfter.jitteredDelay(
@@ -230,7 +230,7 @@
     /** Waits until a target that has paused may take the request; rejects it at once if its deadline comes first. */
     private void waitForPause(final Duration untilEnd) {
         final Duration wait = RetryAfter.spreadAfter(untilEnd, dependencies.random());
-        if (wait.compareTo(time.remaining()) >= 0) {
+        if (wait.compareTo(requestDeadline.remaining()) >= 0) {
             reject(ErrorKind.OVERLOADED, Optional.of(wait), "all targets pause");
             return;
         }
@@ -350,7 +350,8 @@
             next.run();
             return;
         }
-        pendingWait = permits.acquire(choice.target(), time).subscribe(granted -> permitWaitEnded(granted, next));
+        pendingWait =
+                permits.acquire(choice.target(), requestDeadline).subscribe(granted -> permitWaitEnded(granted, next));
     }
 
     private void permitWaitEnded(final boolean granted, final Runnable next) {
@@ -372,7 +373,7 @@
     private void send(final OptionalLong loadedVersion) {
         final TargetAnnouncement target = choice.target();
         final long now = dependencies.timer().nanoTime();
-        final long remaining = time.remaining().toMillis();
+        final long remaining = requestDeadline.remaining().toMillis();
         if (remaining <= 0) {
             deadlineExpired();
             return;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestPermits.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestPermits.java
@@ -57,14 +57,14 @@
      * Waits for a permit.
      *
      * @param target the target
-     * @param time the time that the request has left
+     * @param deadline the time that the request has left
      * @return whether the request has a permit now; never fails
      */
-    Single<Boolean> acquire(final TargetAnnouncement target, final RequestDeadline time) {
+    Single<Boolean> acquire(final TargetAnnouncement target, final RequestDeadline deadline) {
         final TargetStart start = TargetStart.of(target);
         final long askedNanos = dependencies.timer().nanoTime();
         final Duration patience = dependencies.permits().expectedWait(start).plus(PATIENCE);
-        final Duration maxWait = patience.compareTo(time.remaining()) < 0 ? patience : time.remaining();
+        final Duration maxWait = patience.compareTo(deadline.remaining()) < 0 ? patience : deadline.remaining();
         return dependencies.permits().await(start, maxWait).doOnSuccess(granted -> {
             obtainedNanos = dependencies.timer().nanoTime();
             heldFor = granted ? start : null;
