--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetLimitTest.java
@@ -279,6 +279,21 @@
         assertEquals(List.of(), broken);
     }
 
+    // A 421 may come from another target that now has the address.
+    @Test
+    void misdirectedRequestNamesNoLimit() {
+        final TestFleet fleet = plainFleet(1);
+        fleet.sendRequest(TestFleet.vm(0), PLAIN, Optional.empty(), 1_000);
+        final FakeAttempt misdirected = fleet.lastAttempt();
+        misdirected.respondLimited(421, true, "1");
+        assertFalse(fleet.vms
+                .get(TestFleet.vm(0))
+                .core
+                .limits()
+                .of(misdirected.target())
+                .limited());
+    }
+
     // Guards against a limit that is heard of by one VM alone: the others learn it without a response of their own.
     @Test
     void vmsTellEachOtherOfALimitAndOfItsEnd() {
