Log and count what targets send that is not the response to the waiting request

New: response_passed_over, response_malformed, response_unsolicited and balsambank_serving_response_faults_total{kind}. No logic is changed. The target of LateCopyTest can send a part of a copy.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -92,7 +92,8 @@
                 log,
                 registry);
         core.members().setListener(peerAddresses::update);
-        final TargetConnectionPools pools = new TargetConnectionPools(loop.group(), bindings.dialect(), core.members());
+        final TargetConnectionPools pools =
+                new TargetConnectionPools(loop.group(), bindings.dialect(), core.members(), log, registry);
         callers = new CallerContext(core, bindings.dialect(), pools, timer, log);
         callerListener = new CallerListener(loop.group(), callers);
         readyServer = new PageServer(loop.group());
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -139,11 +139,15 @@
     @Override
     protected void channelRead0(final ChannelHandlerContext context, final HttpObject message) {
         if (currentAttempt == null) {
+            if (reusable) {
+                pool.faults().unsolicited();
+            }
             reusable = false;
             context.close();
             return;
         }
         if (message.decoderResult().isFailure()) {
+            pool.faults().malformed(currentAttempt.id(), message.decoderResult().cause());
             connectionLost();
             return;
         }
@@ -165,7 +169,11 @@
         reusable &= HttpUtil.isKeepAlive(head);
         final Optional<Duration> announced = pool.dialect().keepAliveTimeout(head);
         keepAlive = announced.map(time -> time.minus(KEEP_ALIVE_MARGIN)).orElse(DEFAULT_KEEP_ALIVE);
+        final RequestId waiting = currentAttempt.id();
         final boolean own = currentAttempt.head(head);
+        if (!own) {
+            pool.faults().passedOver(waiting, head);
+        }
         reusable &= own && pool.dialect().hasRequestId(head);
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -36,6 +36,7 @@
     private final int port;
     private final EventLoopGroup group;
     private final Dialect dialect;
+    private final ResponseFaults faults;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> all = new HashSet<>();
     private int connecting;
@@ -47,12 +48,19 @@
      * @param port the TCP port
      * @param group the event loop
      * @param dialect the header names and message formats
+     * @param faults records what the target sends that is no response to the request that waits
      */
-    TargetConnectionPool(final String host, final int port, final EventLoopGroup group, final Dialect dialect) {
+    TargetConnectionPool(
+            final String host,
+            final int port,
+            final EventLoopGroup group,
+            final Dialect dialect,
+            final ResponseFaults faults) {
         this.host = Objects.requireNonNull(host);
         this.port = port;
         this.group = Objects.requireNonNull(group);
         this.dialect = Objects.requireNonNull(dialect);
+        this.faults = Objects.requireNonNull(faults);
     }
 
     /**
@@ -64,6 +72,15 @@
         return dialect;
     }
 
+    /**
+     * Returns the records of what the target sends that is no response to the request that waits.
+     *
+     * @return the records
+     */
+    ResponseFaults faults() {
+        return faults;
+    }
+
     /**
      * Starts an attempt on an idle connection or a new one.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPools.java
@@ -5,11 +5,13 @@
 import java.util.Map;
 import java.util.Objects;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpRequest;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.id.TargetId;
+import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.admission.FleetView;
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.OutgoingAttempt;
@@ -29,6 +31,8 @@
     private final EventLoopGroup group;
     private final Dialect dialect;
     private final FleetView fleet;
+    private final DecisionLog log;
+    private final MeterRegistry registry;
     private final Map<Incarnation, TargetConnectionPool> pools = new HashMap<>();
 
     /**
@@ -37,11 +41,20 @@
      * @param group the event loop
      * @param dialect the header names and message formats
      * @param fleet returns the number of VMs that share the connection limit of a target
+     * @param log gets a line for each fault of a response
+     * @param registry counts the faults of responses
      */
-    public TargetConnectionPools(final EventLoopGroup group, final Dialect dialect, final FleetView fleet) {
+    public TargetConnectionPools(
+            final EventLoopGroup group,
+            final Dialect dialect,
+            final FleetView fleet,
+            final DecisionLog log,
+            final MeterRegistry registry) {
         this.group = Objects.requireNonNull(group);
         this.dialect = Objects.requireNonNull(dialect);
         this.fleet = Objects.requireNonNull(fleet);
+        this.log = Objects.requireNonNull(log);
+        this.registry = Objects.requireNonNull(registry);
     }
 
     /**
@@ -89,8 +102,16 @@
         }
         final Incarnation incarnation =
                 new Incarnation(target.id(), target.startedMillis(), target.host(), target.port());
-        return pools.computeIfAbsent(
-                incarnation, key -> new TargetConnectionPool(key.host(), key.port(), group, dialect));
+        return pools.computeIfAbsent(incarnation, this::newPool);
+    }
+
+    private TargetConnectionPool newPool(final Incarnation incarnation) {
+        return new TargetConnectionPool(
+                incarnation.host(),
+                incarnation.port(),
+                group,
+                dialect,
+                new ResponseFaults(incarnation.id(), log, registry));
     }
 
     /** The handle of an attempt in progress. Confined to the decision loop. */
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CancelledAttemptTest.java
@@ -34,7 +34,7 @@
     @BeforeEach
     void listen() throws IOException {
         target = new SmallReceiver();
-        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect());
+        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect(), TestFaults.none());
     }
 
     @AfterEach
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
@@ -8,10 +8,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Deque;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.UnaryOperator;
 
 /**
- * A target on loopback that sends a second copy of each response where the next response on its connection is due.
+ * A target on loopback that sends a second copy of each response, or a part of it, where the next response on its
+ * connection is due.
  *
  * <p>Requests must not have a body. Each connection has a thread of its own.
  */
@@ -20,9 +23,12 @@
 
     private final ServerSocket server = new ServerSocket();
     private final Deque<String> responses = new ConcurrentLinkedDeque<>();
+    private final UnaryOperator<String> copy;
     private volatile int connections;
 
-    LateCopyTarget() throws IOException {
+    /** Starts a target; the operator returns what is sent a second time of a response, empty for nothing. */
+    LateCopyTarget(final UnaryOperator<String> copy) throws IOException {
+        this.copy = Objects.requireNonNull(copy);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         start(this::acceptAll);
     }
@@ -50,11 +56,11 @@
     }
 
     private void serve(final Socket connection) throws IOException {
-        String copy = "";
+        String late = "";
         while (readHead(connection.getInputStream())) {
             final String response = responses.poll();
-            connection.getOutputStream().write((copy + response).getBytes(StandardCharsets.ISO_8859_1));
-            copy = response;
+            connection.getOutputStream().write((late + response).getBytes(StandardCharsets.ISO_8859_1));
+            late = copy.apply(response);
         }
     }
 
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTest.java
@@ -32,8 +32,8 @@
 
     @BeforeEach
     void listen() throws IOException {
-        target = new LateCopyTarget();
-        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect());
+        target = new LateCopyTarget(response -> response);
+        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect(), TestFaults.none());
     }
 
     @AfterEach
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -17,6 +17,7 @@
     final List<AttemptEnd> ends = new ArrayList<>();
     final CountDownLatch chunkSeen = new CountDownLatch(1);
     final CountDownLatch hasEnded = new CountDownLatch(1);
+    int status;
     boolean last;
     boolean writable = true;
 
@@ -45,6 +46,7 @@
 
     @Override
     public boolean head(final ResponseHead head) {
+        status = head.status();
         return true;
     }
 
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
@@ -92,7 +92,8 @@
 
     private void startAttempt() throws Exception {
         final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p/x");
-        final TargetConnectionPool pool = new TargetConnectionPool("127.0.0.1", peer.port(), group, new TestDialect());
+        final TargetConnectionPool pool =
+                new TargetConnectionPool("127.0.0.1", peer.port(), group, new TestDialect(), TestFaults.none());
         final TargetAttempt attempt = new TargetAttempt(
                 new TestDialect(), new RequestId("r1"), request, request.headers(), body, false, listener, listener);
         group.execute(() -> pool.start(attempt, 0));
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/TargetResponseTest.java
@@ -36,7 +36,8 @@
     private static final String FOREIGN = "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 3\r\n\r\nold";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final TargetConnectionPool pool = new TargetConnectionPool("127.0.0.1", 1, group, new TestDialect());
+    private final TargetConnectionPool pool =
+            new TargetConnectionPool("127.0.0.1", 1, group, new TestDialect(), TestFaults.none());
     private final StrictResponseDecoder decoder = new StrictResponseDecoder();
     private final TargetConnection connection = new TargetConnection(pool, decoder);
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder(), decoder, connection);
