Never read a part of a late copy together with the response that follows it

What callers saw (MIXED): a success where the target had answered with a failure.

Cause: a target may send a part of a late copy where the next response is due. If the part ends inside the head, the decoder read its lines and those of the next response as one head: the status line of the copy, a 200, with the request id, the seal and the body of the response, a failure. The id was that of the request that waited, so the check of the id passed. And bytes on an idle connection closed it only once they made a message: a part of a head waited in the decoder until the next response completed it.

Evidence: JoinedResponseTest, real sockets, every length of a part of an 78-byte copy.

Change: bytes are decoded only while a response is due. Any byte on an idle connection, or behind a response, closes the connection.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
@@ -1,37 +1,56 @@
 package org.balsambank.gateway.target;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
  * Decodes the responses of one connection, including those that have no body because of their request method.
  *
- * <p>Confined to the decision loop.
+ * <p>Invariants: bytes are decoded only while a response is due, so a part of a response that arrived before is never
+ * completed by a later one; a head that was put together from two fails. Confined to the decision loop.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEAD_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    private boolean responseDue;
     private boolean noBody;
     private boolean inputEnded;
 
     /**
-     * Creates a decoder that expects response bodies.
+     * Creates a decoder to which no response is due.
      */
     StrictResponseDecoder() {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
     /**
-     * Sets whether the next response has no body regardless of its headers.
+     * Begins to decode, as a request is sent.
      *
-     * @param noBody true for the response to a HEAD request
+     * @param noBody whether its response has no body regardless of the headers, as that of a HEAD request
      */
-    void noBody(final boolean noBody) {
+    void expectResponse(final boolean noBody) {
         this.noBody = noBody;
+        responseDue = true;
+    }
+
+    /**
+     * Ends decoding, as the response to the request is complete.
+     *
+     * @return whether bytes have arrived behind the response
+     */
+    boolean endResponse() {
+        responseDue = false;
+        return actualReadableBytes() > 0;
     }
 
     /**
@@ -43,6 +62,24 @@
         return inputEnded;
     }
 
+    @Override
+    protected void decode(final ChannelHandlerContext context, final ByteBuf in, final List<Object> out)
+            throws Exception {
+        if (!responseDue) {
+            in.skipBytes(in.readableBytes());
+            throw new UnsolicitedBytesException();
+        }
+        final int decodedBefore = out.size();
+        super.decode(context, in, out);
+        out.subList(decodedBefore, out.size()).forEach(StrictResponseDecoder::checkHead);
+    }
+
+    private static void checkHead(final Object decoded) {
+        if (decoded instanceof HttpResponse head && JoinedHead.matches(head)) {
+            head.setDecoderResult(DecoderResult.failure(new DecoderException("a part of another response")));
+        }
+    }
+
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
         inputEnded |= event instanceof ChannelInputShutdownEvent;
@@ -58,4 +95,13 @@
     protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding: chunked");
     }
+
+    /** Thrown if bytes arrive while no response is due. Immutable and thread-safe. */
+    static final class UnsolicitedBytesException extends DecoderException {
+        private static final long serialVersionUID = 1L;
+
+        private UnsolicitedBytesException() {
+            super("bytes while no response is due");
+        }
+    }
 }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -65,7 +65,7 @@
         currentAttempt = attempt;
         responseStarted = false;
         carried.add(attempt.id());
-        decoder.noBody(attempt.hasNoBody());
+        decoder.expectResponse(attempt.hasNoBody());
         attempt.write(channel);
     }
 
@@ -139,10 +139,6 @@
     @Override
     protected void channelRead0(final ChannelHandlerContext context, final HttpObject message) {
         if (currentAttempt == null) {
-            if (reusable) {
-                pool.faults().unsolicited();
-            }
-            reusable = false;
             context.close();
             return;
         }
@@ -196,6 +192,9 @@
             currentAttempt = null;
             idleSinceNanos = System.nanoTime();
             reusable &= attempt.lastChunk(chunk.retain());
+            if (decoder.endResponse()) {
+                unsolicitedBytes();
+            }
             pool.release(this);
             return;
         }
@@ -222,10 +221,21 @@
         super.userEventTriggered(context, event);
     }
 
+    private void unsolicitedBytes() {
+        if (reusable) {
+            pool.faults().unsolicited();
+        }
+        reusable = false;
+    }
+
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+        if (cause instanceof StrictResponseDecoder.UnsolicitedBytesException) {
+            unsolicitedBytes();
+        }
         reusable = false;
         connectionLost();
+        context.close();
     }
 
     @Override
--- /dev/null
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
@@ -0,0 +1,111 @@
+package org.balsambank.gateway.target;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.balsambank.core.id.RequestId;
+import org.balsambank.core.serving.request.AttemptEnd;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Tests that a part of a late copy is never read together with the response that follows it. Uses real sockets.
+ *
+ * <p>The target sends the first bytes of the copy of a success, then the failure with which it answers the next request
+ * on the connection.
+ */
+final class JoinedResponseTest {
+    private static final int TIMEOUT_SECONDS = 10;
+    private static final int NO_LIMIT = 0;
+    private static final String SUCCESS =
+            "HTTP/1.1 200 OK\r\nServer: runner\r\nVia: 1.1 a\r\nId: r1\r\nContent-Length: 4\r\n\r\nmine";
+    private static final String FAILURE =
+            "HTTP/1.1 500 Internal Server Error\r\nId: r2\r\nContent-Length: 6\r\n\r\nfailed";
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private LateCopyTarget target;
+    private TargetConnectionPool pool;
+
+    private void listen(final UnaryOperator<String> copy) throws IOException {
+        target = new LateCopyTarget(copy);
+        pool = new TargetConnectionPool("127.0.0.1", target.port(), group, new TestDialect(), TestFaults.none());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        target.close();
+        group.shutdownGracefully();
+    }
+
+    // Guards against MIXED: a success with the status line of the copy and the id and body of a failure.
+    @ParameterizedTest
+    @MethodSource("parts")
+    void partOfACopyBeforeAResponseGivesItNoOtherStatus(final int length) throws Exception {
+        listen(response -> response.substring(0, length));
+        target.addResponse(SUCCESS);
+        target.addResponse(FAILURE);
+        assertEquals(200, exchange("r1").status);
+        assertOwnOrLost(exchange("r2"));
+    }
+
+    // Guards against MIXED: a part of a copy that waits in an idle connection until the next response completes it.
+    @ParameterizedTest
+    @MethodSource("parts")
+    void partOfACopyOnAnIdleConnectionLosesNoRequest(final int length) throws Exception {
+        listen(response -> "");
+        target.addResponse(SUCCESS + SUCCESS.substring(0, length));
+        target.addResponse(FAILURE);
+        assertEquals(200, exchange("r1").status);
+        final RecordingListener second = exchange("r2");
+        assertEquals(List.of(AttemptEnd.COMPLETE), second.ends);
+        assertEquals(500, second.status);
+        assertEquals("failed", second.body.toString());
+        assertEquals(2, target.connections());
+    }
+
+    private static Stream<Integer> parts() {
+        return IntStream.range(1, SUCCESS.length()).boxed();
+    }
+
+    private static void assertOwnOrLost(final RecordingListener response) {
+        if (response.ends.equals(List.of(AttemptEnd.COMPLETE))) {
+            assertEquals(500, response.status);
+            assertEquals("failed", response.body.toString());
+        } else {
+            assertEquals(List.of(AttemptEnd.LOST), response.ends);
+        }
+    }
+
+    /** Sends a request and returns what came back. */
+    private RecordingListener exchange(final String id) throws InterruptedException {
+        final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/x");
+        final RecordingListener listener = new RecordingListener();
+        final TargetAttempt attempt = new TargetAttempt(
+                new TestDialect(),
+                new RequestId(id),
+                request,
+                request.headers(),
+                Unpooled.EMPTY_BUFFER,
+                false,
+                listener,
+                listener);
+        group.execute(() -> pool.start(attempt, NO_LIMIT));
+        assertTrue(listener.hasEnded.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        return listener;
+    }
+}
