Take no body as whole in which another response begins

What a caller would have seen (MIXED): a success with a body that ends with the beginning of a copy.

The bytes of the copy filled the body up to its length. The id was right, and what was left over behind the body only closed the connection.

Evidence: JoinedResponseTest, real sockets: a response of which each possible part is followed by a whole copy of itself or of another response.

Change: a status line in a body, followed by headers of which one holds the id of a request that the connection has carried, breaks the response off. The copy may begin in the last bytes of the body and go on behind it. The same ends at once a request whose response was swallowed as the body of a copy that was cut short. A body that quotes a response of others is passed (test). What is not seen: a copy whose id has not arrived when the body is complete.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CarriedRequests.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CarriedRequests.java
@@ -40,7 +40,17 @@
      * @return false if it certainly has not
      */
     boolean mayContain(final RequestId id) {
-        final int hash = id.value().hashCode();
+        return mayContainValue(id.value());
+    }
+
+    /**
+     * Returns whether a text may be the id of a request that the connection has carried.
+     *
+     * @param text any text
+     * @return false if it certainly is not
+     */
+    boolean mayContainValue(final String text) {
+        final int hash = text.hashCode();
         return Arrays.stream(idHashes, 0, count).anyMatch(each -> each == hash);
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
@@ -53,6 +53,15 @@
         return actualReadableBytes() > 0;
     }
 
+    /**
+     * Returns the bytes that have arrived and are not decoded yet.
+     *
+     * @return the bytes, not to be changed; valid until this decoder is called again
+     */
+    ByteBuf unreadBytes() {
+        return internalBuffer();
+    }
+
     /**
      * Returns whether the target has ended its side of the connection.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,10 +23,10 @@
 /**
  * One connection to a target. Carries one request at a time.
  *
- * <p>Invariants: unsolicited bytes close the connection; it carries no request twice; a body without a length is
- * complete only if the end of the target's stream was read. A closed channel does not show that: a reset closes it too,
- * without an exception if a write was the first to notice it. The channel must therefore allow half-closure. Confined
- * to the decision loop.
+ * <p>Invariants: unsolicited bytes close the connection; it carries no request twice; a body in which another response
+ * begins is not complete; a body without a length is complete only if the end of the target's stream was read. A closed
+ * channel does not show that: a reset closes it too, without an exception if a write was the first to notice it. The
+ * channel must therefore allow half-closure. Confined to the decision loop.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
@@ -34,6 +35,7 @@
     private final TargetConnectionPool pool;
     private final StrictResponseDecoder decoder;
     private final CarriedRequests carried = new CarriedRequests();
+    private final CopyScanner copies = new CopyScanner(carried::mayContainValue);
     private Channel channel;
     private TargetAttempt currentAttempt;
     private boolean reusable = true;
@@ -162,6 +164,7 @@
             return;
         }
         responseStarted = true;
+        copies.reset();
         reusable &= HttpUtil.isKeepAlive(head);
         final Optional<Duration> announced = pool.dialect().keepAliveTimeout(head);
         keepAlive = announced.map(time -> time.minus(KEEP_ALIVE_MARGIN)).orElse(DEFAULT_KEEP_ALIVE);
@@ -183,6 +186,11 @@
             return;
         }
         final ByteBuf chunk = content.content();
+        if (copies.append(chunk) || last && copies.appendBehindEnd(decoder.unreadBytes())) {
+            pool.faults().malformed(currentAttempt.id(), new DecoderException("another response in the body"));
+            connectionLost();
+            return;
+        }
         final TargetAttempt attempt = currentAttempt;
         if (last && attempt.foreignResponse()) {
             attempt.foreignResponseEnded();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
@@ -17,10 +17,12 @@
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -36,6 +38,10 @@
             "HTTP/1.1 200 OK\r\nServer: runner\r\nVia: 1.1 a\r\nId: r1\r\nContent-Length: 4\r\n\r\nmine";
     private static final String FAILURE =
             "HTTP/1.1 500 Internal Server Error\r\nId: r2\r\nContent-Length: 6\r\n\r\nfailed";
+    private static final String LONG_BODY = "0123456789".repeat(20);
+    private static final String LONG_SUCCESS = "HTTP/1.1 200 OK\r\nServer: runner\r\nId: r1\r\nContent-Length: "
+            + LONG_BODY.length() + "\r\n\r\n" + LONG_BODY;
+    private static final String OTHER_SUCCESS = LONG_SUCCESS.replace("Id: r1", "Id: r0");
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private LateCopyTarget target;
@@ -78,6 +84,49 @@
         assertEquals(2, target.connections());
     }
 
+    // Guards against MIXED: a body whose end is the beginning of a copy of its own response.
+    @ParameterizedTest
+    @MethodSource("partsOfLong")
+    void partOfAResponseBeforeItsCopyIsNotFilledUp(final int length) throws Exception {
+        listen(response -> "");
+        target.addResponse(LONG_SUCCESS.substring(0, length) + LONG_SUCCESS);
+        assertWholeOrBroken(exchange("r1"));
+    }
+
+    // Guards against MIXED: a body whose end is the beginning of a copy of another response.
+    @ParameterizedTest
+    @MethodSource("partsOfLong")
+    void partOfAResponseBeforeACopyOfAnotherIsNotFilledUp(final int length) throws Exception {
+        listen(response -> "");
+        target.addResponse(OTHER_SUCCESS);
+        target.addResponse(LONG_SUCCESS.substring(0, length) + OTHER_SUCCESS);
+        assertEquals(200, exchange("r0").status);
+        assertWholeOrBroken(exchange("r1"));
+    }
+
+    // Guards against sound responses that are lost since their body quotes a response.
+    @Test
+    void bodyThatQuotesAResponseIsWhole() throws Exception {
+        final String quote = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nHTTP/1.1 404 ";
+        listen(response -> "");
+        target.addResponse("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: " + quote.length() + "\r\n\r\n" + quote);
+        final RecordingListener response = exchange("r1");
+        assertEquals(List.of(AttemptEnd.COMPLETE), response.ends);
+        assertEquals(quote, response.body.toString());
+    }
+
+    private static Stream<Integer> partsOfLong() {
+        return IntStream.range(1, LONG_SUCCESS.length()).boxed();
+    }
+
+    private static void assertWholeOrBroken(final RecordingListener response) {
+        if (response.ends.equals(List.of(AttemptEnd.COMPLETE))) {
+            assertEquals(LONG_BODY, response.body.toString());
+        } else {
+            assertFalse(response.last);
+        }
+    }
+
     private static Stream<Integer> parts() {
         return IntStream.range(1, SUCCESS.length()).boxed();
     }
