--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
@@ -41,6 +41,10 @@
     private static final String LONG_BODY = "0123456789".repeat(20);
     private static final String LONG_SUCCESS = "HTTP/1.1 200 OK\r\nServer: runner\r\nId: r1\r\nContent-Length: "
             + LONG_BODY.length() + "\r\n\r\n" + LONG_BODY;
+    private static final String CHUNKED_SUCCESS =
+            "HTTP/1.1 200 OK\r\nDate: x\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + ("64\r\n" + LONG_BODY.substring(0, 100) + "\r\n").repeat(2)
+                    + "0\r\n\r\n";
     private static final String OTHER_SUCCESS = LONG_SUCCESS.replace("Id: r1", "Id: r0");
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -104,6 +108,15 @@
         assertWholeOrBroken(exchange("r1"));
     }
 
+    // Guards against MIXED: chunks of a response that go on with the bytes of its copy.
+    @ParameterizedTest
+    @MethodSource("partsOfChunked")
+    void partOfAChunkedResponseBeforeItsCopyIsNotFilledUp(final int length) throws Exception {
+        listen(response -> "");
+        target.addResponse(CHUNKED_SUCCESS.substring(0, length) + CHUNKED_SUCCESS);
+        assertWholeOrBroken(exchange("r1"));
+    }
+
     // Guards against sound responses that are lost since their body quotes a response.
     @Test
     void bodyThatQuotesAResponseIsWhole() throws Exception {
@@ -115,6 +128,10 @@
         assertEquals(quote, response.body.toString());
     }
 
+    private static Stream<Integer> partsOfChunked() {
+        return IntStream.range(1, CHUNKED_SUCCESS.length()).boxed();
+    }
+
     private static Stream<Integer> partsOfLong() {
         return IntStream.range(1, LONG_SUCCESS.length()).boxed();
     }
