Never read a part of a late copy together with the answer to an order, a report or a store call

What would be seen: an order counts as accepted though the target has rejected it, or a call is lost although its answer came.

Cause: PooledHttpClient decoded whatever came, whenever it came. A part of a copy that waited on an idle connection, came in one read behind a response or came before the next one was completed by the next response: the status line of the copy, the rest of the other.

Ruled out: whole copies on an idle connection or in one read behind a response; they closed the connection before too.

Change: PooledHttpClient decodes with StrictResponseDecoder. Bytes while no response is due end the connection, a head that was put together from two fails the call.

Tests: LateCallCopyTest, real sockets, one case for each length of the part.

Conclusion: parts that end inside a head and unsolicited bytes are covered.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -24,11 +24,11 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -86,7 +86,8 @@
     }
 
     private void connect(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
-        final PooledConnection connection = new PooledConnection(request.address());
+        final StrictResponseDecoder decoder = new StrictResponseDecoder();
+        final PooledConnection connection = new PooledConnection(request.address(), decoder);
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -98,7 +99,8 @@
                     protected void initChannel(final SocketChannel opened) {
                         opened.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new HttpRequestEncoder(),
+                                        decoder,
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         connection);
                     }
@@ -152,16 +154,21 @@
         }
     }
 
-    /** A connection that carries at most one request at a time and returns to the pool after the response. */
+    /**
+     * A connection that carries at most one request at a time and returns to the pool after the response; bytes while
+     * no response is due end it.
+     */
     private final class PooledConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final String address;
+        private final StrictResponseDecoder decoder;
         private SocketChannel channel;
         private SingleEmitter<Response> currentEmitter;
         private Future<?> timeoutTask;
         private long idleSinceNanos;
 
-        PooledConnection(final String address) {
+        PooledConnection(final String address, final StrictResponseDecoder decoder) {
             this.address = address;
+            this.decoder = decoder;
         }
 
         boolean usable(final long now) {
@@ -195,6 +202,7 @@
             if (!request.header().isEmpty()) {
                 httpRequest.headers().set(request.header(), request.headerValue());
             }
+            decoder.expectResponse(httpRequest.method().equals(HttpMethod.HEAD));
             channel.writeAndFlush(httpRequest);
         }
 
@@ -234,7 +242,8 @@
             final SingleEmitter<Response> emitter = currentEmitter;
             currentEmitter = null;
             idleSinceNanos = System.nanoTime();
-            if (HttpUtil.isKeepAlive(response) && open()) {
+            final boolean bytesBehind = decoder.endResponse();
+            if (HttpUtil.isKeepAlive(response) && open() && !bytesBehind) {
                 idle.get(address).addLast(this);
             } else {
                 context.close();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
@@ -25,6 +25,7 @@
     private final Deque<String> responses = new ConcurrentLinkedDeque<>();
     private final UnaryOperator<String> copy;
     private volatile int connections;
+    private volatile Socket newest;
 
     /** Starts a target; the operator returns what is sent a second time of a response, empty for nothing. */
     LateCopyTarget(final UnaryOperator<String> copy) throws IOException {
@@ -42,6 +43,11 @@
         responses.add(response);
     }
 
+    /** Sends bytes on the newest connection, whether or not a request waits on it. */
+    void send(final String bytes) throws IOException {
+        newest.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Returns the number of connections accepted so far. */
     int connections() {
         return connections;
@@ -50,6 +56,7 @@
     private void acceptAll() throws IOException {
         while (true) {
             final Socket accepted = server.accept();
+            newest = accepted;
             connections++;
             start(() -> serve(accepted));
         }
