Test that copies of acceptances and reports never exceed the adapter slots

A copy can answer a load that is asked for again, or a report, where connections carry repetitions of one call.

--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -18,7 +19,7 @@
 
 /**
  * A fake target that executes orders and reports its status with a lag. Some orders get no response and are executed
- * late.
+ * late; some loads that are asked for again, and some reports, are answered by a copy of the response before.
  *
  * <p>Confined to one thread. Counts each time that its adapters exceed its adapter slots, at which a real target would
  * crash.
@@ -36,7 +37,10 @@
     private final Set<AdapterKey> pending = new HashSet<>();
     private final Set<BaseModel> models = new HashSet<>();
     private final Deque<TimedStatus> history = new ArrayDeque<>();
+    private final Map<Order, Boolean> accepted = new HashMap<>();
+    private Optional<TargetStatus> lastReport = Optional.empty();
     private double delayedShare;
+    private double copiedShare;
     private long sequence;
     private long fence;
     private int slotOverflows;
@@ -56,6 +60,19 @@
         delayedShare = share;
     }
 
+    /** Sets the share of the repeated loads and reports that are answered by a copy of the response before. */
+    public void copyResponses(final double share) {
+        copiedShare = share;
+    }
+
+    /** Drops an adapter, loaded or not, as if another holder had ordered it. */
+    public void drop(final AdapterKey adapter) {
+        sequence++;
+        pending.remove(adapter);
+        resident.remove(adapter);
+        recordStatus();
+    }
+
     /** Returns how often an order would have crashed a real target. */
     public int slotOverflows() {
         return slotOverflows;
@@ -84,13 +101,43 @@
                 return Single.timer(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, clock)
                         .map(tick -> OrderResult.UNKNOWN);
             }
-            return Single.timer(2, TimeUnit.MILLISECONDS, clock).map(tick -> execute(order));
+            return Single.timer(2, TimeUnit.MILLISECONDS, clock).map(tick -> respond(order));
         });
     }
 
+    /** Executes an order. A copy answers it only if the response before was to the same load, and accepted it. */
+    private OrderResult respond(final Order order) {
+        final OrderResult result = execute(order);
+        final Order call = withoutSequence(order);
+        if (accepted.remove(call) != null && random.nextDouble() < copiedShare) {
+            return OrderResult.ACCEPTED;
+        }
+        if (order.load() && result == OrderResult.ACCEPTED) {
+            accepted.put(call, true);
+        }
+        return result;
+    }
+
+    private static Order withoutSequence(final Order order) {
+        return new Order(
+                order.load(),
+                order.model(),
+                order.adapter(),
+                order.version(),
+                order.holder(),
+                order.fence(),
+                OptionalLong.empty());
+    }
+
     @Override
     public Single<TargetStatus> readStatus(final TargetAnnouncement target) {
-        return Single.timer(2, TimeUnit.MILLISECONDS, clock).map(tick -> laggingStatus());
+        return Single.timer(2, TimeUnit.MILLISECONDS, clock).map(tick -> {
+            final TargetStatus report = laggingStatus();
+            final Optional<TargetStatus> before = lastReport;
+            final boolean copied = before.isPresent() && random.nextDouble() < copiedShare;
+            lastReport = copied ? Optional.empty() : Optional.of(report);
+            return copied ? before.get() : report;
+        });
     }
 
     private OrderResult execute(final Order order) {
@@ -131,7 +178,9 @@
     }
 
     private void loaded(final AdapterKey adapter, final long version) {
-        pending.remove(adapter);
+        if (!pending.remove(adapter)) {
+            return;
+        }
         resident.put(adapter, version);
         recordStatus();
     }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
@@ -99,6 +99,46 @@
         assertTrue(results.stream().anyMatch(ResidencyResult::resident));
     }
 
+    // Guards against LIMIT: a copy of an earlier acceptance or report makes the VM order more than the target holds.
+    @Test
+    void copiesOfResponsesNeverExceedTheAdapterSlots() {
+        for (int seed = 0; seed < 150; seed++) {
+            final SplittableRandom random = new SplittableRandom(seed);
+            final FakeTarget target = new FakeTarget(clock, seed, ADAPTER_SLOTS, MODEL);
+            final TargetController controller = controller(target);
+            target.copyResponses(0.3 + 0.5 * random.nextDouble());
+            target.delayOrders(0.2 * random.nextDouble());
+            for (int i = 0; i < 60; i++) {
+                ensure(controller, random.nextInt(25), random.nextInt(8) == 0 ? 1 + i / 20 : 0, 1_500);
+                run(target, controller, 1 + random.nextInt(30));
+                if (random.nextInt(4) == 0) {
+                    target.drop(adapter(random.nextInt(25)));
+                }
+            }
+            assertEquals(0, target.slotOverflows(), "seed " + seed);
+        }
+        assertTrue(results.stream().anyMatch(ResidencyResult::resident));
+    }
+
+    // Guards against an adapter that counts as being loaded, on the strength of a copy, after the target was asked
+    // again.
+    @Test
+    void adapterIsLoadedAfterACopyOfAnAcceptanceHidItsLoss() {
+        final FakeTarget target = new FakeTarget(clock, 1, ADAPTER_SLOTS, MODEL);
+        final TargetController controller = controller(target);
+        run(target, controller, 40);
+        ensure(controller, 1, 0, 10_000);
+        run(target, controller, 2);
+        target.drop(adapter(1));
+        target.copyResponses(1);
+        run(target, controller, 40);
+        assertEquals(0, results.stream().filter(ResidencyResult::resident).count());
+        ensure(controller, 1, 0, 10_000);
+        run(target, controller, 40);
+        assertEquals(1, results.stream().filter(ResidencyResult::resident).count());
+        assertTrue(target.resident().contains(adapter(1)));
+    }
+
     @Test
     void rejectedOrdersAreNotRepeatedInALoop() {
         final FakeTarget target = new FakeTarget(clock, 3, ADAPTER_SLOTS, MODEL);
