Never let a late copy of a response answer another order, report or store call

What would be seen: an order counts as accepted or done though its target has refused it or still waits (LIMIT: a slot counts as free during an unload); a VM gives up a claim that it holds; a target counts as empty; a claim or a lease that is another's (ONE); changes in the store that are never seen.

Cause: a connection carried orders, reports (or any calls of the store) one after the other. A whole copy of a response that crosses the next call, or a part of one that ends behind its head, is taken for the response to that call; these responses have no id.

The store's pages do not say that it sends copies; it is guarded since that costs no price.

Change: ConnectionReuse.

Conclusion: a copy answers a repetition of its own call at most, once.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -37,10 +38,11 @@
 import org.balsambank.gateway.loop.Channels;
 
 /**
- * An HTTP client for small requests with complete bodies, on pooled connections.
+ * An HTTP client for small requests with complete bodies.
  *
- * <p>A request that times out or is cancelled closes its connection, so that a late response is never matched to a
- * later request. Confined to the decision loop.
+ * <p>Invariants: a connection carries one request or, where {@link ConnectionReuse} allows it, its repetitions, so that
+ * a late copy of a response never answers another request; a request that times out or is cancelled closes its
+ * connection. Confined to the decision loop.
  */
 public final class PooledHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -48,7 +50,7 @@
     private static final long MAX_IDLE_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EventLoopGroup group;
-    private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
+    private final Map<PoolKey, Deque<PooledConnection>> idle = new HashMap<>();
 
     /**
      * Creates a client without connections.
@@ -69,25 +71,31 @@
      */
     public Single<Response> send(final Request request, final Duration timeout) {
         return Single.create(emitter -> {
-            final long now = System.nanoTime();
-            final Deque<PooledConnection> candidates =
-                    idle.computeIfAbsent(request.address(), key -> new ArrayDeque<>());
-            PooledConnection reused = candidates.pollLast();
-            while (reused != null && !reused.usable(now)) {
-                reused.close();
-                reused = candidates.pollLast();
-            }
-            if (reused != null) {
-                reused.send(request, emitter, timeout);
+            final Optional<PooledConnection> reused = takeIdle(request.poolKey());
+            if (reused.isPresent()) {
+                reused.get().send(request, emitter, timeout);
             } else {
                 connect(request, emitter, timeout);
             }
         });
     }
 
+    private Optional<PooledConnection> takeIdle(final PoolKey key) {
+        final Deque<PooledConnection> candidates = idle.getOrDefault(key, new ArrayDeque<>());
+        PooledConnection candidate = candidates.pollLast();
+        while (candidate != null && !candidate.usable(System.nanoTime())) {
+            candidate.close();
+            candidate = candidates.pollLast();
+        }
+        if (candidates.isEmpty()) {
+            idle.remove(key);
+        }
+        return Optional.ofNullable(candidate);
+    }
+
     private void connect(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
         final StrictResponseDecoder decoder = new StrictResponseDecoder();
-        final PooledConnection connection = new PooledConnection(request.address(), decoder);
+        final PooledConnection connection = new PooledConnection(request, decoder);
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -129,12 +137,24 @@
      * @param header the name of an additional header, empty for none
      * @param headerValue the value of the additional header
      * @param body the body, empty for none
+     * @param reuse which calls may follow on its connection
      */
     public record Request(
-            String host, int port, String method, String path, String header, String headerValue, String body) {
+            String host,
+            int port,
+            String method,
+            String path,
+            String header,
+            String headerValue,
+            String body,
+            ConnectionReuse reuse) {
         private String address() {
             return host + ":" + port;
         }
+
+        private PoolKey poolKey() {
+            return new PoolKey(address(), reuse.call());
+        }
     }
 
     /**
@@ -145,6 +165,9 @@
      */
     public record Response(int status, byte[] body) {}
 
+    /** The calls that share connections. */
+    private record PoolKey(String address, String call) {}
+
     /** Thrown if no connection could be opened, so that no byte of the request was sent. Immutable and thread-safe. */
     public static final class NotSentException extends IOException {
         private static final long serialVersionUID = 1L;
@@ -155,19 +178,21 @@
     }
 
     /**
-     * A connection that carries at most one request at a time and returns to the pool after the response; bytes while
-     * no response is due end it.
+     * A connection that carries at most one request at a time and may return to the pool after the response; bytes
+     * while no response is due end it, and so does idleness.
      */
     private final class PooledConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final String address;
+        private final PoolKey key;
+        private final ConnectionReuse reuse;
         private final StrictResponseDecoder decoder;
         private SocketChannel channel;
         private SingleEmitter<Response> currentEmitter;
         private Future<?> timeoutTask;
         private long idleSinceNanos;
 
-        PooledConnection(final String address, final StrictResponseDecoder decoder) {
-            this.address = address;
+        PooledConnection(final Request first, final StrictResponseDecoder decoder) {
+            this.key = first.poolKey();
+            this.reuse = first.reuse();
             this.decoder = decoder;
         }
 
@@ -176,6 +201,9 @@
         }
 
         void send(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
+            if (timeoutTask != null) {
+                timeoutTask.cancel(false);
+            }
             currentEmitter = emitter;
             emitter.setCancellable(() -> channel.eventLoop().execute(() -> cancel(emitter)));
             timeoutTask = channel.eventLoop()
@@ -188,7 +216,7 @@
                     HttpMethod.valueOf(request.method()),
                     request.path(),
                     Unpooled.copiedBuffer(request.body(), StandardCharsets.UTF_8));
-            httpRequest.headers().set(HttpHeaderNames.HOST, address);
+            httpRequest.headers().set(HttpHeaderNames.HOST, key.address());
             if (!request.body().isEmpty()) {
                 httpRequest.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             }
@@ -241,16 +269,24 @@
             timeoutTask.cancel(false);
             final SingleEmitter<Response> emitter = currentEmitter;
             currentEmitter = null;
-            idleSinceNanos = System.nanoTime();
             final boolean bytesBehind = decoder.endResponse();
-            if (HttpUtil.isKeepAlive(response) && open() && !bytesBehind) {
-                idle.get(address).addLast(this);
+            if (HttpUtil.isKeepAlive(response)
+                    && open()
+                    && !bytesBehind
+                    && reuse.keptAfter().contains(response.status().code())) {
+                keep();
             } else {
                 context.close();
             }
             emitter.onSuccess(new Response(response.status().code(), body));
         }
 
+        private void keep() {
+            idleSinceNanos = System.nanoTime();
+            idle.computeIfAbsent(key, ignored -> new ArrayDeque<>()).addLast(this);
+            timeoutTask = channel.eventLoop().schedule(this::close, MAX_IDLE_NANOS, TimeUnit.NANOSECONDS);
+        }
+
         @Override
         public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
             if (event instanceof ChannelInputShutdownEvent) {
@@ -266,10 +302,15 @@
 
         @Override
         public void channelInactive(final ChannelHandlerContext context) {
-            idle.get(address).remove(this);
+            idle.computeIfPresent(key, (ignored, connections) -> without(connections));
             fail(new IOException("connection closed"));
         }
 
+        private Deque<PooledConnection> without(final Deque<PooledConnection> connections) {
+            connections.remove(this);
+            return connections.isEmpty() ? null : connections;
+        }
+
         /** Resets the connection, so that the peer does not get the request later, and reports the failure. */
         private void fail(final Throwable cause) {
             Channels.reset(channel);
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCallCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCallCopyTest.java
@@ -34,6 +34,8 @@
     private static final int HEAD_LENGTH = ACCEPTANCE.length() - 2;
     private static final String REJECTION = "HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nbusy";
 
+    private static final ConnectionReuse REPEATED = ConnectionReuse.byRepetitionsOf("load a", ACCEPTED);
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final PooledHttpClient client = new PooledHttpClient(group);
     private LateCopyTarget peer;
@@ -109,6 +111,44 @@
         assertEquals(2, peer.connections());
     }
 
+    // Guards against an order that is taken for accepted since the copy of another call's response came before its own.
+    @ParameterizedTest
+    @MethodSource("wholeHeads")
+    void copyBeforeAResponseAnswersNoOtherCall(final int length) throws Exception {
+        listen(response -> response.substring(0, Math.min(length, response.length())));
+        peer.addResponse(ACCEPTANCE);
+        peer.addResponse(REJECTION);
+        assertEquals(ACCEPTED, call(REPEATED).values().get(0).status());
+        assertOwn(call(ConnectionReuse.byRepetitionsOf("load b", ACCEPTED)));
+    }
+
+    @Test
+    void connectionIsNotKeptAfterAnotherStatus() throws Exception {
+        listen(response -> response);
+        peer.addResponse(REJECTION);
+        peer.addResponse(ACCEPTANCE);
+        assertOwn(call(REPEATED));
+        assertEquals(ACCEPTED, call(REPEATED).values().get(0).status());
+        assertEquals(2, peer.connections());
+    }
+
+    // Guards against a copy that is believed for longer than until the same call is made again.
+    @Test
+    void copyAnswersOneRepetitionAtMost() throws Exception {
+        listen(response -> response);
+        peer.addResponse(ACCEPTANCE);
+        peer.addResponse(REJECTION);
+        peer.addResponse(REJECTION);
+        assertEquals(ACCEPTED, call(REPEATED).values().get(0).status());
+        assertEquals(ACCEPTED, call(REPEATED).values().get(0).status());
+        assertOwn(call(REPEATED));
+        assertEquals(2, peer.connections());
+    }
+
+    private static Stream<Integer> wholeHeads() {
+        return IntStream.rangeClosed(HEAD_LENGTH, ACCEPTANCE.length()).boxed();
+    }
+
     private static Stream<Integer> partsOfTheHead() {
         return IntStream.range(1, HEAD_LENGTH).boxed();
     }
@@ -131,11 +171,15 @@
         }
     }
 
-    /** Makes a call and returns what came back. */
     private TestObserver<PooledHttpClient.Response> call() throws InterruptedException {
+        return call(REPEATED);
+    }
+
+    /** Makes a call and returns what came back. */
+    private TestObserver<PooledHttpClient.Response> call(final ConnectionReuse reuse) throws InterruptedException {
         final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
         final PooledHttpClient.Request request =
-                new PooledHttpClient.Request("127.0.0.1", peer.port(), "POST", "/order", "", "", "");
+                new PooledHttpClient.Request("127.0.0.1", peer.port(), "POST", "/order", "", "", "", reuse);
         group.execute(
                 () -> client.send(request, Duration.ofSeconds(TIMEOUT_SECONDS)).subscribe(observer));
         assertTrue(observer.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
@@ -67,8 +67,8 @@
 
     private TestObserver<PooledHttpClient.Response> send(final Duration timeout) {
         final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
-        final PooledHttpClient.Request request =
-                new PooledHttpClient.Request("127.0.0.1", peer.port(), "POST", "/order", "", "", BODY);
+        final PooledHttpClient.Request request = new PooledHttpClient.Request(
+                "127.0.0.1", peer.port(), "POST", "/order", "", "", BODY, ConnectionReuse.NONE);
         group.execute(() -> client.send(request, timeout).subscribe(observer));
         return observer;
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
@@ -106,7 +106,7 @@
         final PooledHttpClient client = new PooledHttpClient(group);
         final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
         final PooledHttpClient.Request request = new PooledHttpClient.Request(
-                "127.0.0.1", peer.port(), "POST", "/order", "", "", "x".repeat(UNSENT_BYTES));
+                "127.0.0.1", peer.port(), "POST", "/order", "", "", "x".repeat(UNSENT_BYTES), ConnectionReuse.NONE);
         group.execute(
                 () -> client.send(request, Duration.ofSeconds(TIMEOUT_SECONDS)).subscribe(observer));
         peer.acceptFirstByte();
