Never take an informational response for the answer to an order, a report or a store call

What would be seen: an order that a target has accepted counts as refused, a report or a store call as failed.

Cause: each response that was read ended the call, also one with a status of 1xx; the own response then came where no response was due.

Change: 1xx are passed over; 101 loses the call, as what follows it is no response.

Tests: CallResponseTest, real sockets. informationalResponseEndsNoCall (103 in place of 202) and switchOfTheProtocolLosesTheCall failed before. Ruled out by its other five, which passed before: HEAD, 204, 1xx on an idle connection, heads and bodies without end. Bodies without a length: ResetResponseTest.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -30,6 +30,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -260,6 +262,13 @@
                 fail(new IOException("malformed response"));
                 return;
             }
+            if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+                fail(new IOException("switch to another protocol"));
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             if (!channel.isActive()) {
                 fail(new IOException("connection closed without the end of the response"));
                 return;
