Log and count what is received in place of a response to an order, a report or a store call

Such bytes left no trace, so a target that sends copies could not be told from one that ends its connections.

One line and one count end a connection, so they are bounded. The registry is made where the client is.

Not seen: a copy that comes after its connection was closed, as after an unload.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/ServingDaemon.java
@@ -4,7 +4,6 @@
 import java.util.Objects;
 
 import com.google.protobuf.ByteString;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.reactivex.rxjava3.core.Completable;
@@ -37,7 +36,7 @@
     private final GatewayLoop loop;
     private final TimerService timer;
     private final DecisionLog log;
-    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final PrometheusMeterRegistry registry;
     private final PeerAddresses peerAddresses = new PeerAddresses();
     private final NettyPeerTransport peers;
     private final ServingCore core;
@@ -58,6 +57,7 @@
      * @param fleetToken the shared secret of the VMs
      * @param loop the decision loop
      * @param log the decision log
+     * @param registry the metrics of the VM
      */
     public ServingDaemon(
             final ServingSettings settings,
@@ -65,11 +65,13 @@
             final PlatformBindings bindings,
             final String fleetToken,
             final GatewayLoop loop,
-            final DecisionLog log) {
+            final DecisionLog log,
+            final PrometheusMeterRegistry registry) {
         this.settings = Objects.requireNonNull(settings);
         this.listenAddresses = Objects.requireNonNull(listenAddresses);
         this.loop = Objects.requireNonNull(loop);
         this.log = Objects.requireNonNull(log);
+        this.registry = Objects.requireNonNull(registry);
         timer = loop.timer();
         final LoopLateness lateness = new LoopLateness(registry, log);
         loop.setLatenessListener(lateNanos -> lateness.timerFired(lateNanos, timer.nanoTime()));
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -37,6 +38,7 @@
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
+import org.balsambank.core.log.DecisionLog;
 import org.balsambank.gateway.loop.Channels;
 
 /**
@@ -52,15 +54,19 @@
     private static final long MAX_IDLE_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EventLoopGroup group;
+    private final CallFaults faults;
     private final Map<PoolKey, Deque<PooledConnection>> idle = new HashMap<>();
 
     /**
      * Creates a client without connections.
      *
      * @param group the event loop group whose only loop is the decision loop
+     * @param log gets a line for what is received and is not the response to a request that waits
+     * @param registry counts the same
      */
-    public PooledHttpClient(final EventLoopGroup group) {
+    public PooledHttpClient(final EventLoopGroup group, final DecisionLog log, final MeterRegistry registry) {
         this.group = Objects.requireNonNull(group);
+        this.faults = new CallFaults(log, registry);
     }
 
     /**
@@ -188,6 +194,7 @@
         private final ConnectionReuse reuse;
         private final StrictResponseDecoder decoder;
         private SocketChannel channel;
+        private Request current;
         private SingleEmitter<Response> currentEmitter;
         private Future<?> timeoutTask;
         private long idleSinceNanos;
@@ -206,6 +213,7 @@
             if (timeoutTask != null) {
                 timeoutTask.cancel(false);
             }
+            current = request;
             currentEmitter = emitter;
             emitter.setCancellable(() -> channel.eventLoop().execute(() -> cancel(emitter)));
             timeoutTask = channel.eventLoop()
@@ -259,6 +267,7 @@
                 return;
             }
             if (response.decoderResult().isFailure()) {
+                faults.malformed(current, response.decoderResult().cause());
                 fail(new IOException("malformed response"));
                 return;
             }
@@ -279,6 +288,9 @@
             final SingleEmitter<Response> emitter = currentEmitter;
             currentEmitter = null;
             final boolean bytesBehind = decoder.endResponse();
+            if (bytesBehind) {
+                faults.unsolicited(current);
+            }
             if (HttpUtil.isKeepAlive(response)
                     && open()
                     && !bytesBehind
@@ -306,6 +318,9 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            if (cause instanceof StrictResponseDecoder.UnsolicitedBytesException && channel.isActive()) {
+                faults.unsolicited(current);
+            }
             fail(cause);
         }
 
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CallResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CallResponseTest.java
@@ -5,9 +5,11 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.observers.TestObserver;
+import org.balsambank.core.log.DecisionLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,7 +26,7 @@
     private static final String EARLY = "HTTP/1.1 103 Early Hints\r\nServer: runner\r\n\r\n";
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PooledHttpClient client = new PooledHttpClient(group);
+    private final PooledHttpClient client = new PooledHttpClient(group, DecisionLog.NONE, new SimpleMeterRegistry());
     private LateCopyTarget peer;
 
     @BeforeEach
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCallCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCallCopyTest.java
@@ -8,9 +8,11 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.observers.TestObserver;
+import org.balsambank.core.log.DecisionLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,7 +39,7 @@
     private static final ConnectionReuse REPEATED = ConnectionReuse.byRepetitionsOf("load a", ACCEPTED);
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PooledHttpClient client = new PooledHttpClient(group);
+    private final PooledHttpClient client = new PooledHttpClient(group, DecisionLog.NONE, new SimpleMeterRegistry());
     private LateCopyTarget peer;
 
     private void listen(final UnaryOperator<String> copy) throws IOException {
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/PooledHttpClientTest.java
@@ -4,10 +4,12 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.observers.TestObserver;
+import org.balsambank.core.log.DecisionLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,7 +25,7 @@
     private static final Duration LONG = Duration.ofSeconds(30);
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PooledHttpClient client = new PooledHttpClient(group);
+    private final PooledHttpClient client = new PooledHttpClient(group, DecisionLog.NONE, new SimpleMeterRegistry());
     private SmallReceiver peer;
 
     @BeforeEach
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ResetResponseTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.reactivex.rxjava3.observers.TestObserver;
 import org.balsambank.core.id.RequestId;
+import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -103,7 +105,7 @@
     }
 
     private TestObserver<PooledHttpClient.Response> startCall() throws Exception {
-        final PooledHttpClient client = new PooledHttpClient(group);
+        final PooledHttpClient client = new PooledHttpClient(group, DecisionLog.NONE, new SimpleMeterRegistry());
         final TestObserver<PooledHttpClient.Response> observer = new TestObserver<>();
         final PooledHttpClient.Request request = new PooledHttpClient.Request(
                 "127.0.0.1", peer.port(), "POST", "/order", "", "", "x".repeat(UNSENT_BYTES), ConnectionReuse.NONE);
