--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -8,8 +8,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -24,23 +26,27 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
+import org.balsambank.core.log.DecisionLog;
 import org.balsambank.gateway.loop.Channels;
 
 /**
- * An HTTP client for small requests with complete bodies, on pooled connections.
+ * An HTTP client for small requests with complete bodies.
  *
- * <p>A request that times out or is cancelled closes its connection, so that a late response is never matched to a
- * later request. Confined to the decision loop.
+ * <p>Invariants: a connection carries one request or, where {@link ConnectionReuse} allows it, its repetitions, so that
+ * a late copy of a response never answers another request; a request that times out or is cancelled closes its
+ * connection. Confined to the decision loop.
  */
 public final class PooledHttpClient {
     private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -48,15 +54,19 @@
     private static final long MAX_IDLE_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final EventLoopGroup group;
-    private final Map<String, Deque<PooledConnection>> idle = new HashMap<>();
+    private final CallFaults faults;
+    private final Map<PoolKey, Deque<PooledConnection>> idle = new HashMap<>();
 
     /**
      * Creates a client without connections.
      *
      * @param group the event loop group whose only loop is the decision loop
+     * @param log gets a line for what is received and is not the response to a request that waits
+     * @param registry counts the same
      */
-    public PooledHttpClient(final EventLoopGroup group) {
+    public PooledHttpClient(final EventLoopGroup group, final DecisionLog log, final MeterRegistry registry) {
         this.group = Objects.requireNonNull(group);
+        this.faults = new CallFaults(log, registry);
     }
 
     /**
@@ -69,24 +79,31 @@
      */
     public Single<Response> send(final Request request, final Duration timeout) {
         return Single.create(emitter -> {
-            final long now = System.nanoTime();
-            final Deque<PooledConnection> candidates =
-                    idle.computeIfAbsent(request.address(), key -> new ArrayDeque<>());
-            PooledConnection reused = candidates.pollLast();
-            while (reused != null && !reused.usable(now)) {
-                reused.close();
-                reused = candidates.pollLast();
-            }
-            if (reused != null) {
-                reused.send(request, emitter, timeout);
+            final Optional<PooledConnection> reused = takeIdle(request.poolKey());
+            if (reused.isPresent()) {
+                reused.get().send(request, emitter, timeout);
             } else {
                 connect(request, emitter, timeout);
             }
         });
     }
 
+    private Optional<PooledConnection> takeIdle(final PoolKey key) {
+        final Deque<PooledConnection> candidates = idle.getOrDefault(key, new ArrayDeque<>());
+        PooledConnection candidate = candidates.pollLast();
+        while (candidate != null && !candidate.usable(System.nanoTime())) {
+            candidate.close();
+            candidate = candidates.pollLast();
+        }
+        if (candidates.isEmpty()) {
+            idle.remove(key);
+        }
+        return Optional.ofNullable(candidate);
+    }
+
     private void connect(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
-        final PooledConnection connection = new PooledConnection(request.address());
+        final StrictResponseDecoder decoder = new StrictResponseDecoder();
+        final PooledConnection connection = new PooledConnection(request, decoder);
         new Bootstrap()
                 .group(group)
                 .channel(NioSocketChannel.class)
@@ -98,7 +115,8 @@
                     protected void initChannel(final SocketChannel opened) {
                         opened.pipeline()
                                 .addLast(
-                                        new HttpClientCodec(),
+                                        new HttpRequestEncoder(),
+                                        decoder,
                                         new HttpObjectAggregator(MAX_RESPONSE_BYTES),
                                         connection);
                     }
@@ -127,12 +145,24 @@
      * @param header the name of an additional header, empty for none
      * @param headerValue the value of the additional header
      * @param body the body, empty for none
+     * @param reuse which calls may follow on its connection
      */
     public record Request(
-            String host, int port, String method, String path, String header, String headerValue, String body) {
+            String host,
+            int port,
+            String method,
+            String path,
+            String header,
+            String headerValue,
+            String body,
+            ConnectionReuse reuse) {
         private String address() {
             return host + ":" + port;
         }
+
+        private PoolKey poolKey() {
+            return new PoolKey(address(), reuse.call());
+        }
     }
 
     /**
@@ -143,6 +173,9 @@
      */
     public record Response(int status, byte[] body) {}
 
+    /** The calls that share connections. */
+    private record PoolKey(String address, String call) {}
+
     /** Thrown if no connection could be opened, so that no byte of the request was sent. Immutable and thread-safe. */
     public static final class NotSentException extends IOException {
         private static final long serialVersionUID = 1L;
@@ -152,16 +185,24 @@
         }
     }
 
-    /** A connection that carries at most one request at a time and returns to the pool after the response. */
+    /**
+     * A connection that carries at most one request at a time and may return to the pool after the response; bytes
+     * while no response is due end it, and so does idleness.
+     */
     private final class PooledConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final String address;
+        private final PoolKey key;
+        private final ConnectionReuse reuse;
+        private final StrictResponseDecoder decoder;
         private SocketChannel channel;
+        private Request current;
         private SingleEmitter<Response> currentEmitter;
         private Future<?> timeoutTask;
         private long idleSinceNanos;
 
-        PooledConnection(final String address) {
-            this.address = address;
+        PooledConnection(final Request first, final StrictResponseDecoder decoder) {
+            this.key = first.poolKey();
+            this.reuse = first.reuse();
+            this.decoder = decoder;
         }
 
         boolean usable(final long now) {
@@ -169,6 +210,10 @@
         }
 
         void send(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
+            if (timeoutTask != null) {
+                timeoutTask.cancel(false);
+            }
+            current = request;
             currentEmitter = emitter;
             emitter.setCancellable(() -> channel.eventLoop().execute(() -> cancel(emitter)));
             timeoutTask = channel.eventLoop()
@@ -181,7 +226,7 @@
                     HttpMethod.valueOf(request.method()),
                     request.path(),
                     Unpooled.copiedBuffer(request.body(), StandardCharsets.UTF_8));
-            httpRequest.headers().set(HttpHeaderNames.HOST, address);
+            httpRequest.headers().set(HttpHeaderNames.HOST, key.address());
             if (!request.body().isEmpty()) {
                 httpRequest.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             }
@@ -195,6 +240,7 @@
             if (!request.header().isEmpty()) {
                 httpRequest.headers().set(request.header(), request.headerValue());
             }
+            decoder.expectResponse(httpRequest.method().equals(HttpMethod.HEAD));
             channel.writeAndFlush(httpRequest);
         }
 
@@ -221,9 +267,17 @@
                 return;
             }
             if (response.decoderResult().isFailure()) {
+                faults.malformed(current, response.decoderResult().cause());
                 fail(new IOException("malformed response"));
                 return;
             }
+            if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+                fail(new IOException("switch to another protocol"));
+                return;
+            }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
             if (!channel.isActive()) {
                 fail(new IOException("connection closed without the end of the response"));
                 return;
@@ -233,15 +287,27 @@
             timeoutTask.cancel(false);
             final SingleEmitter<Response> emitter = currentEmitter;
             currentEmitter = null;
-            idleSinceNanos = System.nanoTime();
-            if (HttpUtil.isKeepAlive(response) && open()) {
-                idle.get(address).addLast(this);
+            final boolean bytesBehind = decoder.endResponse();
+            if (bytesBehind) {
+                faults.unsolicited(current);
+            }
+            if (HttpUtil.isKeepAlive(response)
+                    && open()
+                    && !bytesBehind
+                    && reuse.keptAfter().contains(response.status().code())) {
+                keep();
             } else {
                 context.close();
             }
             emitter.onSuccess(new Response(response.status().code(), body));
         }
 
+        private void keep() {
+            idleSinceNanos = System.nanoTime();
+            idle.computeIfAbsent(key, ignored -> new ArrayDeque<>()).addLast(this);
+            timeoutTask = channel.eventLoop().schedule(this::close, MAX_IDLE_NANOS, TimeUnit.NANOSECONDS);
+        }
+
         @Override
         public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
             if (event instanceof ChannelInputShutdownEvent) {
@@ -252,15 +318,23 @@
 
         @Override
         public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
+            if (cause instanceof StrictResponseDecoder.UnsolicitedBytesException && channel.isActive()) {
+                faults.unsolicited(current);
+            }
             fail(cause);
         }
 
         @Override
         public void channelInactive(final ChannelHandlerContext context) {
-            idle.get(address).remove(this);
+            idle.computeIfPresent(key, (ignored, connections) -> without(connections));
             fail(new IOException("connection closed"));
         }
 
+        private Deque<PooledConnection> without(final Deque<PooledConnection> connections) {
+            connections.remove(this);
+            return connections.isEmpty() ? null : connections;
+        }
+
         /** Resets the connection, so that the peer does not get the request later, and reports the failure. */
         private void fail(final Throwable cause) {
             Channels.reset(channel);
