Send each request to a target on a connection of its own

Cause: these requests used kept connections of Vert.x's client. A target may send a second copy of a response late, or a part of it. A part that ends inside its head was read together with the next response as one head: its status line, the id and body of the next one. Vert.x's decoder keeps a part that arrives on an idle connection until the next response completes it. And a whole copy without an id, or with the id of a request that is sent again, was taken for the response.

Weighed: a handler before Vert.x's decoder (reached only through internal classes; a whole copy without an id still passes); no kept connections where the target has stuttered before (the first copy reaches a caller); a check of the received head for a second status line (doesn't see a body that is swallowed, nor a copy without an id); a connection for each request, which needs nothing that identifies a response: taken.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
@@ -26,17 +26,22 @@
 /**
  * The HTTP client of the targets.
  *
- * <p>Invariant: a request that must not run twice uses a new connection, because on a stale pooled connection its
- * outcome could stay unknown. Confined to the decision loop.
+ * <p>Invariant: a connection carries one request of a caller. A target may send a second copy of a response late, and
+ * nothing surely tells a part of it from the response that follows on the same connection; and on a connection that was
+ * kept and died unnoticed the outcome of a request could stay unknown. Confined to the decision loop.
  */
 public final class HttpTargetClient implements TargetClient {
-    private static final int MAX_CONNECTIONS_PER_TARGET = 256;
-    private static final int MAX_QUEUED_REQUESTS = 64;
+    /** The most requests that are sent to a target at the same time. */
+    static final int MAX_REQUESTS_PER_TARGET = 512;
+
+    private static final int MAX_QUEUED_REQUESTS = 128;
+    private static final int MAX_CONTROL_CONNECTIONS_PER_TARGET = 256;
+    private static final int MAX_QUEUED_CONTROL_CALLS = 64;
     private static final int MAX_CONNECTION_AGE_SECONDS = 60;
     private static final int POOL_CLEANER_PERIOD_MILLIS = 500;
 
-    private final HttpClient pooled;
-    private final HttpClient singleUse;
+    private final HttpClient control;
+    private final HttpClient requests;
     private final TimerService timer;
     private final TargetTimeouts timeouts;
     private final TargetControlClient controlClient;
@@ -51,9 +56,9 @@
     public HttpTargetClient(final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts) {
         this.timer = Objects.requireNonNull(timer);
         this.timeouts = Objects.requireNonNull(timeouts);
-        pooled = vertx.createHttpClient(options(timeouts).setKeepAlive(true), pool());
-        singleUse = vertx.createHttpClient(options(timeouts).setKeepAlive(false), pool());
-        controlClient = new TargetControlClient(pooled, timeouts);
+        control = vertx.createHttpClient(options(timeouts).setKeepAlive(true), controlPool());
+        requests = vertx.createHttpClient(options(timeouts).setKeepAlive(false), requestPool());
+        controlClient = new TargetControlClient(control, timeouts);
     }
 
     @Override
@@ -81,8 +86,7 @@
     }
 
     private Future<HttpClientRequest> openRequest(final Target target, final RelayRequest request) {
-        final HttpClient client = request.getIdempotent() ? pooled : singleUse;
-        return client.request(new RequestOptions()
+        return requests.request(new RequestOptions()
                 .setHost(target.host())
                 .setPort(target.port())
                 .setMethod(HttpMethod.valueOf(request.getHttpMethod()))
@@ -99,10 +103,14 @@
                 .setDecompressionSupported(false);
     }
 
-    private static PoolOptions pool() {
+    private static PoolOptions requestPool() {
+        return new PoolOptions().setHttp1MaxSize(MAX_REQUESTS_PER_TARGET).setMaxWaitQueueSize(MAX_QUEUED_REQUESTS);
+    }
+
+    private static PoolOptions controlPool() {
         return new PoolOptions()
-                .setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET)
-                .setMaxWaitQueueSize(MAX_QUEUED_REQUESTS)
+                .setHttp1MaxSize(MAX_CONTROL_CONNECTIONS_PER_TARGET)
+                .setMaxWaitQueueSize(MAX_QUEUED_CONTROL_CALLS)
                 .setMaxLifetime(MAX_CONNECTION_AGE_SECONDS)
                 .setMaxLifetimeUnit(TimeUnit.SECONDS)
                 .setCleanerPeriod(POOL_CLEANER_PERIOD_MILLIS);
