Send each report and order to a target on a connection of its own

What would be seen: an adapter taken for loaded or evicted where the target has refused, until a later report tells otherwise; a report of a boot that has ended; a target whose report is lost although it came.

Cause: the same as that of the requests. Reports and orders used kept connections, and nothing in their responses names the call, so a copy, whole or in part, is read as the response to the next call, or together with it.

Weighed: an id in the call (targets don't repeat it, and it would be a new part of the protocol); the order verified by the next report (it lags, and a report is matched in the same way); a new connection for each call, taken. The time for which an idle connection was kept is no limit any more and is removed.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
@@ -1,7 +1,6 @@
 package org.balsambank.daemon.target;
 
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
@@ -26,21 +25,19 @@
 /**
  * The HTTP client of the targets.
  *
- * <p>Invariant: a connection carries one request of a caller. A target may send a second copy of a response late, and
- * nothing surely tells a part of it from the response that follows on the same connection; and on a connection that was
- * kept and died unnoticed the outcome of a request could stay unknown. Confined to the decision loop.
+ * <p>Invariant: a connection carries one request of a caller, one report or one order. A target may send a second copy
+ * of a response late, and nothing surely tells a part of it from the response that follows on the same connection; and
+ * on a connection that was kept and died unnoticed the outcome of a request could stay unknown. Confined to the
+ * decision loop.
  */
 public final class HttpTargetClient implements TargetClient {
     /** The most requests that are sent to a target at the same time. */
     static final int MAX_REQUESTS_PER_TARGET = 512;
 
     private static final int MAX_QUEUED_REQUESTS = 128;
-    private static final int MAX_CONTROL_CONNECTIONS_PER_TARGET = 256;
+    private static final int MAX_CONTROL_CALLS_PER_TARGET = 256;
     private static final int MAX_QUEUED_CONTROL_CALLS = 64;
-    private static final int MAX_CONNECTION_AGE_SECONDS = 60;
-    private static final int POOL_CLEANER_PERIOD_MILLIS = 500;
 
-    private final HttpClient control;
     private final HttpClient requests;
     private final TimerService timer;
     private final TargetTimeouts timeouts;
@@ -56,9 +53,10 @@
     public HttpTargetClient(final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts) {
         this.timer = Objects.requireNonNull(timer);
         this.timeouts = Objects.requireNonNull(timeouts);
-        control = vertx.createHttpClient(options(timeouts).setKeepAlive(true), controlPool());
-        requests = vertx.createHttpClient(options(timeouts).setKeepAlive(false), requestPool());
-        controlClient = new TargetControlClient(control, timeouts);
+        requests = vertx.createHttpClient(options(timeouts), pool(MAX_REQUESTS_PER_TARGET, MAX_QUEUED_REQUESTS));
+        controlClient = new TargetControlClient(
+                vertx.createHttpClient(options(timeouts), pool(MAX_CONTROL_CALLS_PER_TARGET, MAX_QUEUED_CONTROL_CALLS)),
+                timeouts);
     }
 
     @Override
@@ -96,23 +94,13 @@
     private static HttpClientOptions options(final TargetTimeouts timeouts) {
         return new HttpClientOptions()
                 .setConnectTimeout(Math.toIntExact(timeouts.connect().toMillis()))
-                .setKeepAliveTimeout(Math.toIntExact(Math.max(1, timeouts.idle().toSeconds())))
-                .setPipelining(false)
+                .setKeepAlive(false)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
                 .setDecompressionSupported(false);
     }
 
-    private static PoolOptions requestPool() {
-        return new PoolOptions().setHttp1MaxSize(MAX_REQUESTS_PER_TARGET).setMaxWaitQueueSize(MAX_QUEUED_REQUESTS);
-    }
-
-    private static PoolOptions controlPool() {
-        return new PoolOptions()
-                .setHttp1MaxSize(MAX_CONTROL_CONNECTIONS_PER_TARGET)
-                .setMaxWaitQueueSize(MAX_QUEUED_CONTROL_CALLS)
-                .setMaxLifetime(MAX_CONNECTION_AGE_SECONDS)
-                .setMaxLifetimeUnit(TimeUnit.SECONDS)
-                .setCleanerPeriod(POOL_CLEANER_PERIOD_MILLIS);
+    private static PoolOptions pool(final int connections, final int queued) {
+        return new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(queued);
     }
 }
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetTimeouts.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetTimeouts.java
@@ -12,21 +12,14 @@
  * @param responseSilence the maximum gap before the first and between two chunks of any other response
  * @param report the limit for reading a report
  * @param command the limit for executing a load or evict command
- * @param idle how long an idle connection is kept
  */
 public record TargetTimeouts(
-        Duration connect,
-        Duration streamSilence,
-        Duration responseSilence,
-        Duration report,
-        Duration command,
-        Duration idle) {
+        Duration connect, Duration streamSilence, Duration responseSilence, Duration report, Duration command) {
     /** The time limits that the daemon uses. */
     public static final TargetTimeouts DEFAULT = new TargetTimeouts(
             Duration.ofSeconds(1),
             Duration.ofSeconds(5),
             Duration.ofSeconds(30),
             Duration.ofSeconds(2),
-            Duration.ofSeconds(30),
-            Duration.ofSeconds(2));
+            Duration.ofSeconds(30));
 }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -251,10 +251,7 @@
     }
 
     private HttpTargetClient client(final TimerService timer, final Duration silence) {
-        return new HttpTargetClient(
-                vertx,
-                timer,
-                new TargetTimeouts(PATIENCE, silence, silence, PATIENCE, PATIENCE, Duration.ofSeconds(1)));
+        return new HttpTargetClient(vertx, timer, new TargetTimeouts(PATIENCE, silence, silence, PATIENCE, PATIENCE));
     }
 
     private TestSubscriber<RelayEvent> stream(final RawServer server, final long demand) {
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
@@ -53,9 +53,7 @@
     private final Vertx vertx = Vertx.vertx();
     private final DecisionLoop loop = new DecisionLoop(((VertxInternal) vertx).createEventLoopContext());
     private final HttpTargetClient client = new HttpTargetClient(
-            vertx,
-            loop.timer(),
-            new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE, Duration.ofSeconds(2)));
+            vertx, loop.timer(), new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE));
 
     /** How a request may be sent. */
     private enum Route {
