Send each call to the key-value service on a connection of its own

What would be seen, if the key-value service or the VM list stuttered as targets do: a write that is taken for done though its key had changed, so that two VMs hold the same key; a lease that is taken for renewed after it has ended; a value where there is none; VMs in the list that have left. No service has been seen to do so.

Cause: the same as that of the requests to targets. The clients shared a client that kept connections, and nothing in a response names its call.

Weighed: the key of a read compared with the one asked for (helps reads alone); a connection for each call, taken. The client is made by the sender of the calls now, so no user of the store can hand it one that keeps connections. The cost of a connection is the one measured for requests to targets; it was not measured for the store by itself.

RawServer and the stuttering target of the tests move to the tests of this module, which the daemon's use.

--- a/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpKeyValueStore.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpKeyValueStore.java
@@ -18,9 +18,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
-import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
-import io.vertx.ext.web.client.WebClient;
 import org.balsambank.core.id.LeaseId;
 import org.balsambank.core.port.KeyValueChange;
 import org.balsambank.core.port.KeyValueEntry;
@@ -43,7 +41,6 @@
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
-    private final WebClient client;
     private final HttpRequestSender sender;
     private final String base;
     private final KeyValueTimeouts timeouts;
@@ -51,14 +48,11 @@
     /**
      * Creates a client.
      *
-     * @param client the HTTP client
      * @param context the decision loop
      * @param base the base URL of the service, without a trailing slash
      * @param timeouts the timeouts of the calls
      */
-    public HttpKeyValueStore(
-            final WebClient client, final Context context, final String base, final KeyValueTimeouts timeouts) {
-        this.client = Objects.requireNonNull(client);
+    public HttpKeyValueStore(final Context context, final String base, final KeyValueTimeouts timeouts) {
         this.sender = new HttpRequestSender(context);
         this.base = Objects.requireNonNull(base);
         this.timeouts = Objects.requireNonNull(timeouts);
@@ -143,10 +137,7 @@
 
     private Single<HttpResponse<Buffer>> send(
             final HttpMethod method, final String path, final JsonObject body, final Duration timeout) {
-        return Single.defer(() -> {
-            final HttpRequest<Buffer> request = client.requestAbs(method, base + path);
-            return sender.send(request, body, timeout);
-        });
+        return sender.send(method, base + path, body, timeout);
     }
 
     private static JsonObject body(final HttpResponse<Buffer> response) throws KeyValueException {
--- a/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpRequestSender.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpRequestSender.java
@@ -14,20 +14,25 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.ConnectionPoolTooBusyException;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueException.Reason;
 
 /**
  * Sends HTTP requests on one context and maps their failures to {@link KeyValueException}.
  *
- * <p>Invariant: reason {@code UNAVAILABLE} is used only if no connection was open for the request. Thread-safe;
- * results arrive on the context.
+ * <p>Invariants: reason {@code UNAVAILABLE} is used only if no connection was open for the request; a connection
+ * carries one request, since nothing in a response names its request, and a service may send a second copy of a
+ * response where the next one is due. Thread-safe; results arrive on the context.
  */
 final class HttpRequestSender {
     private final Context context;
+    private final WebClient client;
 
     /**
      * Creates a sender.
@@ -36,19 +41,21 @@
      */
     HttpRequestSender(final Context context) {
         this.context = Objects.requireNonNull(context);
+        client = WebClient.create(context.owner(), new WebClientOptions().setKeepAlive(false));
     }
 
     /**
      * Sends a request.
      *
-     * @param request the request
+     * @param method the method of the request
+     * @param url the absolute URL
      * @param body the JSON body, or null for none
      * @param timeout the timeout for the complete response
      * @return the response with any status; the request is sent on subscription
      */
     Single<HttpResponse<Buffer>> send(
-            final HttpRequest<Buffer> request, final JsonObject body, final Duration timeout) {
-        return Single.create(emitter -> onContext(() -> start(request, body, timeout, emitter)));
+            final HttpMethod method, final String url, final JsonObject body, final Duration timeout) {
+        return Single.create(emitter -> onContext(() -> start(client.requestAbs(method, url), body, timeout, emitter)));
     }
 
     private void start(
--- a/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpVmList.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpVmList.java
@@ -8,10 +8,10 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.HttpResponse;
-import io.vertx.ext.web.client.WebClient;
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.port.KeyValueException;
@@ -28,7 +28,6 @@
     private static final int OK = 200;
     private static final String LEAVING = "leaving";
 
-    private final WebClient client;
     private final HttpRequestSender sender;
     private final String base;
     private final Duration timeout;
@@ -36,13 +35,11 @@
     /**
      * Creates a client.
      *
-     * @param client the HTTP client
      * @param context the decision loop
      * @param base the base URL of the service, without a trailing slash
      * @param timeout the response timeout
      */
-    public HttpVmList(final WebClient client, final Context context, final String base, final Duration timeout) {
-        this.client = Objects.requireNonNull(client);
+    public HttpVmList(final Context context, final String base, final Duration timeout) {
         this.sender = new HttpRequestSender(context);
         this.base = Objects.requireNonNull(base);
         this.timeout = Objects.requireNonNull(timeout);
@@ -50,8 +47,7 @@
 
     @Override
     public Single<List<VmEntry>> list() {
-        return Single.defer(() -> sender.send(client.getAbs(base + "/v1/vms"), null, timeout))
-                .map(HttpVmList::entries);
+        return sender.send(HttpMethod.GET, base + "/v1/vms", null, timeout).map(HttpVmList::entries);
     }
 
     private static List<VmEntry> entries(final HttpResponse<Buffer> response) throws KeyValueException {
--- a/balsambank-coordination/src/test/java/org/balsambank/coordination/HttpKeyValueStoreTest.java
+++ b/balsambank-coordination/src/test/java/org/balsambank/coordination/HttpKeyValueStoreTest.java
@@ -16,7 +16,6 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.ext.web.client.WebClient;
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.LeaseId;
 import org.balsambank.core.id.VmId;
@@ -43,7 +42,6 @@
     private final Vertx vertx = Vertx.vertx();
     private final Context context = vertx.getOrCreateContext();
     private final Map<String, Handler<HttpServerRequest>> handlers = new ConcurrentHashMap<>();
-    private final WebClient client = WebClient.create(vertx);
     private int port;
     private HttpKeyValueStore store;
 
@@ -155,7 +153,7 @@
 
     @Test
     void readsVmList() {
-        final HttpVmList list = new HttpVmList(client, context, base(port), Duration.ofSeconds(5));
+        final HttpVmList list = new HttpVmList(context, base(port), Duration.ofSeconds(5));
         respond(
                 "GET /v1/vms",
                 200,
@@ -174,8 +172,7 @@
     }
 
     private HttpKeyValueStore store(final int serverPort, final Duration timeout) {
-        return new HttpKeyValueStore(
-                client, context, base(serverPort), new KeyValueTimeouts(timeout, Duration.ofMillis(100)));
+        return new HttpKeyValueStore(context, base(serverPort), new KeyValueTimeouts(timeout, Duration.ofMillis(100)));
     }
 
     private void respond(final String call, final int status, final String body) {
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/RawServer.java
+++ b/balsambank-coordination/src/test/java/org/balsambank/coordination/RawServer.java
@@ -1,4 +1,4 @@
-package org.balsambank.daemon.target;
+package org.balsambank.coordination;
 
 import java.util.function.BiConsumer;
 
@@ -7,12 +7,18 @@
 import io.vertx.core.net.NetSocket;
 
 /** A TCP server on loopback that responds to each request head with bytes written by the test. Thread-safe. */
-final class RawServer {
+public final class RawServer {
     private static final String HEAD_END = "\r\n\r\n";
 
     private final NetServer server;
 
-    RawServer(final Vertx vertx, final BiConsumer<NetSocket, String> script) {
+    /**
+     * Starts a server.
+     *
+     * @param vertx the event loops
+     * @param script gets a connection and the head of each request that arrives on it
+     */
+    public RawServer(final Vertx vertx, final BiConsumer<NetSocket, String> script) {
         server = vertx.createNetServer().connectHandler(socket -> {
             final StringBuilder received = new StringBuilder();
             socket.handler(data -> {
@@ -27,7 +33,12 @@
         server.listen(0, "127.0.0.1").await();
     }
 
-    int port() {
+    /**
+     * Returns the port.
+     *
+     * @return the TCP port on loopback
+     */
+    public int port() {
         return server.actualPort();
     }
 }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTarget.java
+++ b/balsambank-coordination/src/test/java/org/balsambank/coordination/StutteringServer.java
@@ -1,4 +1,4 @@
-package org.balsambank.daemon.target;
+package org.balsambank.coordination;
 
 import java.util.Deque;
 import java.util.Map;
@@ -12,13 +12,13 @@
 import io.vertx.core.net.NetSocket;
 
 /**
- * A target on loopback that sends a second copy of each response, or a part of it, where the test says.
+ * A server on loopback that sends a second copy of each response, or a part of it, where the test says.
  *
  * <p>Responses are sent in the order in which they were added, one for each request. Thread-safe.
  */
-final class StutteringTarget {
+public final class StutteringServer {
     /** Where the copy of a response is sent on its connection. */
-    enum Place {
+    public enum Place {
         /** In the same write as the next response, before it. */
         BEFORE_NEXT,
         /** In the same write as the response, behind it. */
@@ -34,30 +34,55 @@
     private final RawServer server;
     private volatile CompletableFuture<Void> copySent = CompletableFuture.completedFuture(null);
 
-    /** Starts a target; the operator returns what is sent a second time of a response. */
-    StutteringTarget(final Vertx vertx, final Place place, final UnaryOperator<String> copy) {
+    /**
+     * Starts a server.
+     *
+     * @param vertx the event loops
+     * @param place where copies are sent
+     * @param copy returns what is sent a second time of a response, empty for nothing
+     */
+    public StutteringServer(final Vertx vertx, final Place place, final UnaryOperator<String> copy) {
         this.place = Objects.requireNonNull(place);
         this.copy = Objects.requireNonNull(copy);
         server = new RawServer(vertx, this::respond);
     }
 
-    int port() {
+    /**
+     * Returns the port.
+     *
+     * @return the TCP port on loopback
+     */
+    public int port() {
         return server.port();
     }
 
-    int connections() {
+    /**
+     * Returns how many connections have carried a request.
+     *
+     * @return the number of connections
+     */
+    public int connections() {
         return late.size();
     }
 
-    void addResponse(final String response) {
+    /**
+     * Adds the response to the next request that has none.
+     *
+     * @param response the bytes in ISO 8859-1
+     */
+    public void addResponse(final String response) {
         responses.add(response);
         if (place == Place.IDLE) {
             copySent = new CompletableFuture<>();
         }
     }
 
-    /** Completes when the copy of the last response is written, or its connection is closed. */
-    CompletableFuture<Void> copySent() {
+    /**
+     * Waits for the copy of a response that is sent by itself.
+     *
+     * @return completes when the copy of the last response is written, or its connection is closed
+     */
+    public CompletableFuture<Void> copySent() {
         return copySent;
     }
 
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/ExternalClients.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/ExternalClients.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
-import io.vertx.ext.web.client.WebClient;
 import org.balsambank.coordination.HttpKeyValueStore;
 import org.balsambank.coordination.HttpVmList;
 import org.balsambank.coordination.KeyValueTimeouts;
@@ -40,14 +39,13 @@
      */
     static ExternalClients open(
             final Vertx vertx, final DecisionLoop loop, final Settings settings, final MeterRegistry registry) {
-        final WebClient client = WebClient.create(vertx);
         final TimerService timer = loop.timer();
         final KeyValueTimeouts timeouts =
                 new KeyValueTimeouts(settings.keyValueTimeout(), KeyValueTimeouts.DEFAULT.watch());
         final PeerAddresses addresses = new PeerAddresses();
         final VmDirectory vmDirectory = new VmDirectory(
                 self(settings),
-                new HttpVmList(client, loop.context(), settings.vmListUrl(), settings.keyValueTimeout()),
+                new HttpVmList(loop.context(), settings.vmListUrl(), settings.keyValueTimeout()),
                 addresses);
         final NettyPeerTransport peers = new NettyPeerTransport(
                 settings.vm(),
@@ -57,7 +55,7 @@
                 loop,
                 registry);
         return new ExternalClients(
-                new HttpKeyValueStore(client, loop.context(), settings.keyValueUrl(), timeouts),
+                new HttpKeyValueStore(loop.context(), settings.keyValueUrl(), timeouts),
                 vmDirectory,
                 peers,
                 new HttpTargetClient(vertx, timer, TargetTimeouts.DEFAULT));
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -19,6 +19,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.internal.VertxInternal;
 import io.vertx.core.net.NetSocket;
+import org.balsambank.coordination.RawServer;
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.AdapterRef;
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
@@ -10,6 +10,8 @@
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.VertxInternal;
+import org.balsambank.coordination.StutteringServer;
+import org.balsambank.coordination.StutteringServer.Place;
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.AdapterRef;
@@ -18,7 +20,6 @@
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.daemon.DecisionLoop;
-import org.balsambank.daemon.target.StutteringTarget.Place;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -98,8 +99,8 @@
         final List<String> faults = new ArrayList<>();
         for (int length = 1; length <= firstResponse.length(); length++) {
             final String part = firstResponse.substring(0, length);
-            final StutteringTarget server =
-                    new StutteringTarget(vertx, place, response -> response.equals(firstResponse) ? part : "");
+            final StutteringServer server =
+                    new StutteringServer(vertx, place, response -> response.equals(firstResponse) ? part : "");
             final Target target = target(server.port());
             server.addResponse(firstResponse);
             assertEquals(firstResult, result(firstCall.apply(target)));
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
@@ -18,6 +18,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.VertxInternal;
 import io.vertx.core.net.NetSocket;
+import org.balsambank.coordination.RawServer;
+import org.balsambank.coordination.StutteringServer;
+import org.balsambank.coordination.StutteringServer.Place;
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.BaseModel;
@@ -25,7 +28,6 @@
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.daemon.DecisionLoop;
-import org.balsambank.daemon.target.StutteringTarget.Place;
 import org.balsambank.protocol.generated.relay.RelayEvent;
 import org.balsambank.protocol.generated.relay.RelayRequest;
 import org.junit.jupiter.api.AfterEach;
@@ -181,7 +183,7 @@
             final String failure,
             final Ids ids)
             throws Exception {
-        final StutteringTarget target = new StutteringTarget(
+        final StutteringServer target = new StutteringServer(
                 vertx, place, response -> response.equals(success) ? success.substring(0, length) : "");
         target.addResponse(success);
         assertTrue(send(target, route.request("r1")).startsWith("200 "));
@@ -192,7 +194,7 @@
     }
 
     /** Sends a request and returns the status and body of the response, or how the request failed. */
-    private String send(final StutteringTarget target, final RelayRequest request) {
+    private String send(final StutteringServer target, final RelayRequest request) {
         return client.send(target(target.port()), new Epoch(7), request)
                 .subscribeOn(loop.timer().scheduler())
                 .unsubscribeOn(loop.timer().scheduler())
