Send each request of a command on a connection of its own

What an operator would see behind a server or relay that stutters: a roll-out shown as complete by an earlier response. `balsambank apply` asks for the state of a roll-out again and again on one client.

Cause: the same as that of the requests to targets; the client of the commands kept connections.

Weighed: nothing but a connection for each request; a command sends few.

--- a/balsambank-cli/src/main/java/org/balsambank/cli/BlockingHttpClient.java
+++ b/balsambank-cli/src/main/java/org/balsambank/cli/BlockingHttpClient.java
@@ -16,11 +16,13 @@
 import io.vertx.ext.web.client.HttpRequest;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
 
 /**
  * A blocking HTTP client for the operators' and callers' ports of a VM.
  *
- * <p>Confined to one thread. Must be closed after use.
+ * <p>Invariant: a connection carries one request, so no bytes behind a response are taken for the next one. Confined to
+ * one thread. Must be closed after use.
  */
 public final class BlockingHttpClient implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -31,7 +33,7 @@
     private final URI server;
     private final String token;
     private final Vertx vertx = Vertx.vertx();
-    private final WebClient client = WebClient.create(vertx);
+    private final WebClient client = WebClient.create(vertx, new WebClientOptions().setKeepAlive(false));
 
     /**
      * Creates a client.
