Never read a head that was broken off together with the response begun after it

What callers of the product's own interface would see: status 200 with the body of a failure; an adapter taken for loaded, or a lease for renewed, where the answer was a failure.

Cause: a target, or the store, that breaks off a response inside its head and begins another on the same connection (an error page after all) gives Vert.x's decoder one head with the status line of the first. This needs no earlier request on the connection, so a connection for each request doesn't keep it away.

Evidence: the tests headThatWasBrokenOffIsNotReadWithTheNextOne, real sockets, a head cut at every byte and then a whole failure with the id of the request.

Change: the check of a received head for a second status line, which the users' platform's path has, moves to core.port, since it needs only the reason phrase and the headers; requests, reports, orders and calls of the store use it too. A response to a request is lost if any of its ids is another's; only the first one was compared.

Not seen by this check: a response that is broken off inside its body, followed by another; its length or chunks say where it ends, and nothing else does.

--- a/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpRequestSender.java
+++ b/balsambank-coordination/src/main/java/org/balsambank/coordination/HttpRequestSender.java
@@ -20,6 +20,7 @@
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 import io.vertx.ext.web.client.WebClientOptions;
+import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueException.Reason;
 
@@ -69,6 +70,7 @@
         final HttpRequest<Buffer> timed = request.timeout(timeout.toMillis());
         final Future<HttpResponse<Buffer>> response = body == null ? timed.send() : timed.sendJsonObject(body);
         response.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .compose(HttpRequestSender::checkHead)
                 .onComplete(result -> onContext(() -> {
                     if (result.succeeded()) {
                         emitter.onSuccess(result.result());
@@ -78,6 +80,12 @@
                 }));
     }
 
+    private static Future<HttpResponse<Buffer>> checkHead(final HttpResponse<Buffer> response) {
+        return JoinedHead.matches(response.statusMessage(), response.headers())
+                ? Future.failedFuture("the head holds the status line of another response")
+                : Future.succeededFuture(response);
+    }
+
     private void onContext(final Runnable action) {
         if (Vertx.currentContext() == context) {
             action.run();
--- a/balsambank-coordination/src/test/java/org/balsambank/coordination/StutteringServiceTest.java
+++ b/balsambank-coordination/src/test/java/org/balsambank/coordination/StutteringServiceTest.java
@@ -16,6 +16,7 @@
 import org.balsambank.core.port.KeyValueException;
 import org.balsambank.core.port.KeyValueStore;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -95,6 +96,22 @@
                 "0 VMs");
     }
 
+    // Guards against a lease that is taken for renewed by a head that the service broke off and began anew.
+    @Test
+    void headThatWasBrokenOffIsNotReadWithTheNextOne() {
+        final String renewed = response("200 OK", "");
+        final List<String> faults = new ArrayList<>();
+        for (int length = 1; length <= renewed.indexOf("\r\n\r\n"); length++) {
+            final StutteringServer server = new StutteringServer(vertx, Place.BEHIND, response -> "");
+            server.addResponse(renewed.substring(0, length) + response("410 Gone", ""));
+            final String result = result(store(server).renewLease(LEASE).toSingleDefault("renewed"));
+            if (!result.equals("UNKNOWN")) {
+                faults.add(length + ": " + result);
+            }
+        }
+        assertEquals(List.of(), faults);
+    }
+
     private void assertSecondIsOwn(
             final Place place,
             final Function<StutteringServer, Single<String>> call,
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -16,6 +16,7 @@
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
 import org.balsambank.core.request.NoticeHeaders;
@@ -135,6 +136,10 @@
             return;
         }
         received.pause();
+        if (JoinedHead.matches(received.statusMessage(), received.headers())) {
+            fail(Reason.LOST, "the head holds the status line of another response");
+            return;
+        }
         if (!TargetHeaders.mayBelongTo(received.headers(), relayRequest)) {
             fail(Reason.LOST, "the response names another request");
             return;
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
@@ -19,6 +19,7 @@
 import org.balsambank.core.id.AdapterRef;
 import org.balsambank.core.id.BootId;
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
 import org.balsambank.core.port.TargetReport;
@@ -112,7 +113,17 @@
     }
 
     private static Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
-        return sent.compose(response -> response.body().compose(body -> checkStatus(response.statusCode(), body)));
+        return sent.compose(TargetControlClient::checkHead)
+                .compose(response -> response.body().compose(body -> checkStatus(response.statusCode(), body)));
+    }
+
+    private static Future<HttpClientResponse> checkHead(final HttpClientResponse response) {
+        if (JoinedHead.matches(response.statusMessage(), response.headers())) {
+            response.request().reset();
+            return Future.failedFuture(
+                    new TargetException(Reason.LOST, "the head holds the status line of another response"));
+        }
+        return Future.succeededFuture(response);
     }
 
     private static Future<Buffer> checkStatus(final int status, final Buffer body) {
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetHeaders.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetHeaders.java
@@ -80,8 +80,7 @@
      * @return false if the response names another request
      */
     static boolean mayBelongTo(final MultiMap headers, final RelayRequest request) {
-        final String id = headers.get(REQUEST_ID);
-        return id == null || id.equals(request.getRequestId());
+        return headers.getAll(REQUEST_ID).stream().allMatch(request.getRequestId()::equals);
     }
 
     /**
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
@@ -21,6 +21,7 @@
 import org.balsambank.core.id.TargetId;
 import org.balsambank.daemon.DecisionLoop;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -87,6 +88,22 @@
                 "status 503");
     }
 
+    // Guards against an adapter that is taken for loaded by a head that the target broke off and began anew.
+    @Test
+    void headThatWasBrokenOffIsNotReadWithTheNextOne() {
+        final List<String> faults = new ArrayList<>();
+        for (int length = 1; length <= DONE.indexOf("\r\n\r\n"); length++) {
+            final StutteringServer server = new StutteringServer(vertx, Place.BEHIND, response -> "");
+            server.addResponse(DONE.substring(0, length) + FAILED);
+            final String result =
+                    result(client.load(target(server.port()), EPOCH, FIRST).toSingleDefault("loaded"));
+            if (result.equals("loaded")) {
+                faults.add(length + ": " + result);
+            }
+        }
+        assertEquals(List.of(), faults);
+    }
+
     private void assertSecondIsOwn(
             final Place place,
             final Function<Target, Single<String>> firstCall,
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -34,6 +35,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -50,6 +52,7 @@
     private static final long MAX_WAIT_MILLIS = 20_000;
     private static final int QUEUED = 40;
     private static final String OWN = "500 failed";
+    private static final String HEAD_END = "\r\n\r\n";
     private static final String ID_HEADER = "X-Request-Id: ";
 
     private final Vertx vertx = Vertx.vertx();
@@ -133,6 +136,25 @@
         assertEquals(List.of(), faults);
     }
 
+    // Guards against MIXED: a head that the target broke off, read together with the response that it began anew.
+    @ParameterizedTest
+    @EnumSource
+    void headThatWasBrokenOffIsNotReadWithTheNextOne(final Route route) {
+        final String success = route.success(Ids.SAME.header("r1"));
+        final String failure =
+                "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: r1\r\nContent-Length: 6\r\n\r\nfailed";
+        final List<String> faults = new ArrayList<>();
+        for (int length = 1; length <= success.indexOf(HEAD_END); length++) {
+            final StutteringServer target = new StutteringServer(vertx, Place.BEHIND, response -> "");
+            target.addResponse(success.substring(0, length) + failure);
+            final String result = send(target, route.request("r1"));
+            if (!result.startsWith("lost: ")) {
+                faults.add(length + ": " + result);
+            }
+        }
+        assertEquals(List.of(), faults);
+    }
+
     // Guards against a connection that carries a second request since the pool was full when that came.
     @Test
     void requestThatWaitsForAConnectionGetsOneOfItsOwn() throws Exception {
@@ -195,13 +217,16 @@
 
     /** Sends a request and returns the status and body of the response, or how the request failed. */
     private String send(final StutteringServer target, final RelayRequest request) {
+        final List<RelayEvent> events = new CopyOnWriteArrayList<>();
         return client.send(target(target.port()), new Epoch(7), request)
                 .subscribeOn(loop.timer().scheduler())
                 .unsubscribeOn(loop.timer().scheduler())
-                .toList()
-                .map(StutteringTargetTest::text)
+                .doOnNext(events::add)
+                .ignoreElements()
                 .timeout(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS)
-                .onErrorReturn(error -> "lost: " + error.getMessage())
+                .toSingle(() -> text(events))
+                .onErrorReturn(
+                        error -> (events.isEmpty() ? "lost: " : "lost after " + text(events)) + error.getMessage())
                 .blockingGet();
     }
 
