Count what targets send on the own interface that is not the response to the call

No metric told a response that names another request from a joined head, from bytes that can't be read, or from a connection that ended: all were LOST. New: balsambank_target_response_faults_total{kind} with other_request, joined_head and malformed, for requests, reports and orders; no line in the log, which here is for changes of state.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/ExternalClients.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/ExternalClients.java
@@ -58,7 +58,7 @@
                 new HttpKeyValueStore(loop.context(), settings.keyValueUrl(), timeouts),
                 vmDirectory,
                 peers,
-                new HttpTargetClient(vertx, timer, TargetTimeouts.DEFAULT));
+                new HttpTargetClient(vertx, timer, TargetTimeouts.DEFAULT, registry));
     }
 
     /**
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
@@ -41,6 +42,7 @@
     private final HttpClient requests;
     private final TimerService timer;
     private final TargetTimeouts timeouts;
+    private final ResponseFaults faults;
     private final TargetControlClient controlClient;
 
     /**
@@ -49,20 +51,24 @@
      * @param vertx the event loops
      * @param timer the clock and scheduler of the decision loop
      * @param timeouts the time limits
+     * @param registry counts what targets send instead of responses
      */
-    public HttpTargetClient(final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts) {
+    public HttpTargetClient(
+            final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts, final MeterRegistry registry) {
         this.timer = Objects.requireNonNull(timer);
         this.timeouts = Objects.requireNonNull(timeouts);
+        faults = new ResponseFaults(registry);
         requests = vertx.createHttpClient(options(timeouts), pool(MAX_REQUESTS_PER_TARGET, MAX_QUEUED_REQUESTS));
         controlClient = new TargetControlClient(
                 vertx.createHttpClient(options(timeouts), pool(MAX_CONTROL_CALLS_PER_TARGET, MAX_QUEUED_CONTROL_CALLS)),
-                timeouts);
+                timeouts,
+                faults);
     }
 
     @Override
     public Flowable<RelayEvent> send(final Target target, final Epoch epoch, final RelayRequest request) {
         return Flowable.fromPublisher(subscriber -> {
-            final TargetCall call = new TargetCall(target, epoch, request, subscriber, timer, timeouts);
+            final TargetCall call = new TargetCall(target, epoch, request, subscriber, timer, timeouts, faults);
             subscriber.onSubscribe(call);
             call.start(openRequest(target, request));
         });
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -50,6 +50,7 @@
     private final RelayRequest relayRequest;
     private final Subscriber<? super RelayEvent> subscriber;
     private final TimerService timer;
+    private final ResponseFaults faults;
     private final long silenceTimeoutNanos;
     private final Queue<RelayEvent> events = new ArrayDeque<>(2);
     private final StreamEndDetector endDetector = new StreamEndDetector();
@@ -74,6 +75,7 @@
      * @param subscriber receives the response
      * @param timer the clock and scheduler
      * @param timeouts the time limits
+     * @param faults counts what the target sends instead of the response
      */
     TargetCall(
             final Target target,
@@ -81,12 +83,14 @@
             final RelayRequest relayRequest,
             final Subscriber<? super RelayEvent> subscriber,
             final TimerService timer,
-            final TargetTimeouts timeouts) {
+            final TargetTimeouts timeouts,
+            final ResponseFaults faults) {
         this.target = Objects.requireNonNull(target);
         this.epoch = Objects.requireNonNull(epoch);
         this.relayRequest = Objects.requireNonNull(relayRequest);
         this.subscriber = Objects.requireNonNull(subscriber);
         this.timer = Objects.requireNonNull(timer);
+        this.faults = Objects.requireNonNull(faults);
         this.silenceTimeoutNanos = relayRequest.getStreaming()
                 ? timeouts.streamSilence().toNanos()
                 : timeouts.responseSilence().toNanos();
@@ -128,7 +132,14 @@
                 .subscribe(tick -> checkSilence(), error -> fail(Reason.LOST, "silence timer failed"));
         connected
                 .send(Buffer.buffer(relayRequest.getBody().toByteArray()))
-                .onComplete(this::responseReceived, error -> fail(Reason.LOST, "no response: " + error.getMessage()));
+                .onComplete(this::responseReceived, this::responseFailed);
+    }
+
+    private void responseFailed(final Throwable error) {
+        if (!finished && !terminated) {
+            faults.countIfMalformed(error);
+        }
+        fail(Reason.LOST, "no response: " + error.getMessage());
     }
 
     private void responseReceived(final HttpClientResponse received) {
@@ -137,10 +148,12 @@
         }
         received.pause();
         if (JoinedHead.matches(received.statusMessage(), received.headers())) {
+            faults.count(ResponseFaults.Kind.JOINED_HEAD);
             fail(Reason.LOST, "the head holds the status line of another response");
             return;
         }
         if (!TargetHeaders.mayBelongTo(received.headers(), relayRequest)) {
+            faults.count(ResponseFaults.Kind.OTHER_REQUEST);
             fail(Reason.LOST, "the response names another request");
             return;
         }
@@ -158,13 +171,20 @@
         }
         received.handler(this::chunkReceived)
                 .endHandler(ignored -> responseEnded())
-                .exceptionHandler(error -> fail(Reason.LOST, "truncated response: " + error.getMessage()));
+                .exceptionHandler(this::responseTruncated);
         events.add(RelayEvent.newBuilder()
                 .setHead(TargetHeaders.toRelayHead(received.statusCode(), received.headers()))
                 .build());
         drain();
     }
 
+    private void responseTruncated(final Throwable error) {
+        if (!finished && !terminated) {
+            faults.countIfMalformed(error);
+        }
+        fail(Reason.LOST, "truncated response: " + error.getMessage());
+    }
+
     private Optional<Reason> refusalReason(final int status) {
         if (target.kind() != TargetKind.MODEL_RUNNER) {
             return Optional.empty();
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
@@ -40,16 +40,19 @@
 
     private final HttpClient client;
     private final TargetTimeouts timeouts;
+    private final ResponseFaults faults;
 
     /**
      * Creates a client.
      *
      * @param client the HTTP client
      * @param timeouts the time limits
+     * @param faults counts what targets send instead of a response
      */
-    TargetControlClient(final HttpClient client, final TargetTimeouts timeouts) {
+    TargetControlClient(final HttpClient client, final TargetTimeouts timeouts, final ResponseFaults faults) {
         this.client = Objects.requireNonNull(client);
         this.timeouts = Objects.requireNonNull(timeouts);
+        this.faults = Objects.requireNonNull(faults);
     }
 
     /**
@@ -112,13 +115,14 @@
                         new TargetException(Reason.NOT_SENT, "no connection: " + error.getMessage())));
     }
 
-    private static Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
-        return sent.compose(TargetControlClient::checkHead)
-                .compose(response -> response.body().compose(body -> checkStatus(response.statusCode(), body)));
+    private Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
+        return sent.onFailure(faults::countIfMalformed).compose(this::checkHead).compose(response -> response.body()
+                .compose(body -> checkStatus(response.statusCode(), body)));
     }
 
-    private static Future<HttpClientResponse> checkHead(final HttpClientResponse response) {
+    private Future<HttpClientResponse> checkHead(final HttpClientResponse response) {
         if (JoinedHead.matches(response.statusMessage(), response.headers())) {
+            faults.count(ResponseFaults.Kind.JOINED_HEAD);
             response.request().reset();
             return Future.failedFuture(
                     new TargetException(Reason.LOST, "the head holds the status line of another response"));
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
@@ -54,6 +56,7 @@
     /** Longer than any wait of a test, so that a slow machine is not taken for a silent target. */
     private static final Duration PATIENCE = Duration.ofMinutes(2);
 
+    private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private final Vertx vertx = Vertx.vertx();
     private final DecisionLoop loop = new DecisionLoop(((VertxInternal) vertx).createEventLoopContext());
     private HttpTargetClient client = client(loop.timer(), PATIENCE);
@@ -131,6 +134,41 @@
                 .assertComplete();
     }
 
+    // Guards against MIXED: a head that was put together from two, of which only the first id is compared.
+    @Test
+    void responseWithIdsOfTwoRequestsIsLost() {
+        final String response = OK + "X-Request-Id: r1\r\nX-Request-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+        assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(response), false)));
+    }
+
+    // Guards against an id that is compared leniently: ids that differ in case or length are those of two requests.
+    @Test
+    void responseWhoseIdDiffersInCaseOrLengthIsLost() {
+        for (final String id : List.of("R1", "r", "r11", "r1 r1", "\"r1\"")) {
+            final String response = OK + "X-Request-Id: " + id + "\r\nContent-Length: 3\r\n\r\nold";
+            assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(response), false)), id);
+        }
+        call((socket, request) -> socket.write(OK + "X-Request-Id:  \tr1 \r\nContent-Length: 3\r\n\r\nnew"), false)
+                .assertComplete();
+    }
+
+    // Guards against a MIXED that the metrics can't tell from a connection that ended.
+    @Test
+    void faultsOfResponsesAreCountedByKind() {
+        call((socket, request) -> socket.write(OK + "X-Request-Id: r0\r\nContent-Length: 0\r\n\r\n"), false);
+        assertEquals(List.of(1.0, 0.0, 0.0), faults());
+        call((socket, request) -> socket.write(OK + "Via: HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n"), false);
+        assertEquals(List.of(1.0, 1.0, 0.0), faults());
+        call((socket, request) -> socket.write("HTTHTTP/1.1 200 OK\r\n\r\n"), false);
+        assertEquals(List.of(1.0, 1.0, 1.0), faults());
+        call((socket, request) -> socket.write(STREAM + "zz\r\nno\r\n"), true);
+        assertEquals(List.of(1.0, 1.0, 2.0), faults());
+        for (final String part : List.of("", OK, OK + "Content-Length: 9\r\n\r\n123", STREAM + "5\r\n12")) {
+            call((socket, request) -> socket.end(Buffer.buffer(part)), false);
+            assertEquals(List.of(1.0, 1.0, 2.0), faults(), part);
+        }
+    }
+
     @Test
     void silenceIsLost() {
         client = client(loop.timer(), SILENCE);
@@ -252,7 +290,15 @@
     }
 
     private HttpTargetClient client(final TimerService timer, final Duration silence) {
-        return new HttpTargetClient(vertx, timer, new TargetTimeouts(PATIENCE, silence, silence, PATIENCE, PATIENCE));
+        return new HttpTargetClient(
+                vertx, timer, new TargetTimeouts(PATIENCE, silence, silence, PATIENCE, PATIENCE), registry);
+    }
+
+    private List<Double> faults() {
+        return Stream.of("other_request", "joined_head", "malformed")
+                .map(kind -> registry.counter("balsambank.target.response.faults", "kind", kind)
+                        .count())
+                .toList();
     }
 
     private TestSubscriber<RelayEvent> stream(final RawServer server, final long demand) {
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringControlTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.VertxInternal;
@@ -41,10 +42,11 @@
     private static final String DONE = response("200 OK", "");
     private static final String FAILED = response("503 Service Unavailable", "failed");
 
+    private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private final Vertx vertx = Vertx.vertx();
     private final DecisionLoop loop = new DecisionLoop(((VertxInternal) vertx).createEventLoopContext());
     private final HttpTargetClient client = new HttpTargetClient(
-            vertx, loop.timer(), new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE));
+            vertx, loop.timer(), new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE), registry);
 
     @AfterEach
     void close() {
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/StutteringTargetTest.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 
 import com.google.protobuf.ByteString;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
 import io.vertx.core.Vertx;
@@ -55,10 +56,11 @@
     private static final String HEAD_END = "\r\n\r\n";
     private static final String ID_HEADER = "X-Request-Id: ";
 
+    private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
     private final Vertx vertx = Vertx.vertx();
     private final DecisionLoop loop = new DecisionLoop(((VertxInternal) vertx).createEventLoopContext());
     private final HttpTargetClient client = new HttpTargetClient(
-            vertx, loop.timer(), new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE));
+            vertx, loop.timer(), new TargetTimeouts(PATIENCE, PATIENCE, PATIENCE, PATIENCE, PATIENCE), registry);
 
     /** How a request may be sent. */
     private enum Route {
