Test that ids which callers choose tell no responses apart on the own interface

Looked for: two callers that use one id at the same time, one id for two requests, ids that differ in case or blanks. On the own interface the VM that a request reaches gives it an id of its own (a UUID), and the caller's X-Request-Id does not reach the target.

Tests over sockets: idThatACallerChoosesIsNotTheIdOfItsRequest (four callers at once, three spellings), idempotencyKeysThatDifferInCaseOrInnerBlanksAreDifferent, and the check of the headers that a target gets. That keys of different teams stay apart was only read (RecordTable, ShardOwner).

--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
@@ -2,18 +2,28 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.opentelemetry.api.OpenTelemetry;
+import io.reactivex.rxjava3.core.BackpressureStrategy;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.reactivex.rxjava3.subjects.ReplaySubject;
+import io.reactivex.rxjava3.subjects.Subject;
 import io.vertx.core.Vertx;
 import org.balsambank.core.error.BalsambankException;
 import org.balsambank.core.error.ErrorKind;
@@ -28,6 +38,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -114,6 +125,45 @@
         assertFalse(request.toString().contains("k0"));
     }
 
+    // Guards against MIXED: two requests of one id, which a target's responses can't tell apart.
+    @Test
+    @Timeout(60)
+    void idThatACallerChoosesIsNotTheIdOfItsRequest() throws Exception {
+        final Subject<RelayEvent> held = ReplaySubject.<RelayEvent>create().toSerialized();
+        response = held.toFlowable(BackpressureStrategy.BUFFER);
+        final List<CompletableFuture<String>> answers = new ArrayList<>();
+        for (final String chosen : List.of("chosen", "chosen", "CHOSEN", " chosen ")) {
+            answers.add(CompletableFuture.supplyAsync(
+                    () -> postUnchecked("X-Request-Id: " + chosen + "\r\n"), task -> new Thread(task).start()));
+        }
+        while (handled.size() < answers.size()) {
+            Thread.onSpinWait();
+        }
+        List.of(HEAD, chunk("done"), END).forEach(held::onNext);
+        held.onComplete();
+        final Set<String> ids = new HashSet<>();
+        handled.forEach(request -> ids.add(request.id().value()));
+        assertEquals(answers.size(), ids.size());
+        for (final CompletableFuture<String> answer : answers) {
+            final String text = answer.get(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertFalse(text.toLowerCase(Locale.ROOT).contains("chosen"), text);
+            assertEquals(1, ids.stream().filter(text::contains).count(), text);
+        }
+    }
+
+    // Guards against a keyed call that gets the recorded answer of a call with a similar key.
+    @Test
+    void idempotencyKeysThatDifferInCaseOrInnerBlanksAreDifferent() throws IOException {
+        for (final String key : List.of("k1", "K1", "k 1", " k1 ", "k1,k1")) {
+            post("/v1/completions", "Idempotency-Key: " + key + "\r\n", COMPLETION);
+        }
+        assertEquals(
+                List.of("k1", "K1", "k 1", "k1", "k1,k1"),
+                handled.stream()
+                        .map(request -> request.idempotencyKey().orElseThrow().value())
+                        .toList());
+    }
+
     @Test
     void refusesMalformedRequests() throws IOException {
         assertRefused(ErrorKind.MALFORMED_REQUEST, post("/v1/completions", "", "{\"model\":"));
@@ -169,6 +219,14 @@
         }
     }
 
+    private String postUnchecked(final String headers) {
+        try {
+            return post("/v1/completions", headers, COMPLETION);
+        } catch (final IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static BalsambankException lost() {
         return new BalsambankException(ErrorKind.TARGET_LOST, "the target was lost");
     }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -233,6 +233,7 @@
         final String head = seen.get(10, TimeUnit.SECONDS).toLowerCase(java.util.Locale.ROOT);
         assertFalse(head.contains("secret"));
         assertTrue(head.contains("x-request-id: r1\r\n"));
+        assertFalse(head.contains("chosen"));
         assertTrue(head.contains("x-fencing-number: 7\r\n"));
         assertTrue(head.contains("x-priority: 4\r\n"));
         assertTrue(head.contains("traceparent: 00-1-1-01\r\n"));
@@ -379,6 +380,7 @@
                 .setStreaming(streaming)
                 .setTraceParent("00-1-1-01")
                 .addHeaders(RelayHeader.newBuilder().setName("Authorization").setValue("Bearer secret"))
+                .addHeaders(RelayHeader.newBuilder().setName("x-request-ID").setValue("chosen"))
                 .setBody(ByteString.copyFromUtf8("{}"))
                 .build();
     }
