--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/HttpTargetClient.java
@@ -1,8 +1,8 @@
 package org.balsambank.daemon.target;
 
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
@@ -26,19 +26,23 @@
 /**
  * The HTTP client of the targets.
  *
- * <p>Invariant: a request that must not run twice uses a new connection, because on a stale pooled connection its
- * outcome could stay unknown. Confined to the decision loop.
+ * <p>Invariant: a connection carries one request of a caller, one report or one order. A target may send a second copy
+ * of a response late, and nothing surely tells a part of it from the response that follows on the same connection; and
+ * on a connection that was kept and died unnoticed the outcome of a request could stay unknown. Confined to the
+ * decision loop.
  */
 public final class HttpTargetClient implements TargetClient {
-    private static final int MAX_CONNECTIONS_PER_TARGET = 256;
-    private static final int MAX_QUEUED_REQUESTS = 64;
-    private static final int MAX_CONNECTION_AGE_SECONDS = 60;
-    private static final int POOL_CLEANER_PERIOD_MILLIS = 500;
+    /** The most requests that are sent to a target at the same time. */
+    static final int MAX_REQUESTS_PER_TARGET = 512;
 
-    private final HttpClient pooled;
-    private final HttpClient singleUse;
+    private static final int MAX_QUEUED_REQUESTS = 128;
+    private static final int MAX_CONTROL_CALLS_PER_TARGET = 256;
+    private static final int MAX_QUEUED_CONTROL_CALLS = 64;
+
+    private final HttpClient requests;
     private final TimerService timer;
     private final TargetTimeouts timeouts;
+    private final ResponseFaults faults;
     private final TargetControlClient controlClient;
 
     /**
@@ -47,19 +51,24 @@
      * @param vertx the event loops
      * @param timer the clock and scheduler of the decision loop
      * @param timeouts the time limits
+     * @param registry counts what targets send instead of responses
      */
-    public HttpTargetClient(final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts) {
+    public HttpTargetClient(
+            final Vertx vertx, final TimerService timer, final TargetTimeouts timeouts, final MeterRegistry registry) {
         this.timer = Objects.requireNonNull(timer);
         this.timeouts = Objects.requireNonNull(timeouts);
-        pooled = vertx.createHttpClient(options(timeouts).setKeepAlive(true), pool());
-        singleUse = vertx.createHttpClient(options(timeouts).setKeepAlive(false), pool());
-        controlClient = new TargetControlClient(pooled, timeouts);
+        faults = new ResponseFaults(registry);
+        requests = vertx.createHttpClient(options(timeouts), pool(MAX_REQUESTS_PER_TARGET, MAX_QUEUED_REQUESTS));
+        controlClient = new TargetControlClient(
+                vertx.createHttpClient(options(timeouts), pool(MAX_CONTROL_CALLS_PER_TARGET, MAX_QUEUED_CONTROL_CALLS)),
+                timeouts,
+                faults);
     }
 
     @Override
     public Flowable<RelayEvent> send(final Target target, final Epoch epoch, final RelayRequest request) {
         return Flowable.fromPublisher(subscriber -> {
-            final TargetCall call = new TargetCall(target, epoch, request, subscriber, timer, timeouts);
+            final TargetCall call = new TargetCall(target, epoch, request, subscriber, timer, timeouts, faults);
             subscriber.onSubscribe(call);
             call.start(openRequest(target, request));
         });
@@ -81,8 +90,7 @@
     }
 
     private Future<HttpClientRequest> openRequest(final Target target, final RelayRequest request) {
-        final HttpClient client = request.getIdempotent() ? pooled : singleUse;
-        return client.request(new RequestOptions()
+        return requests.request(new RequestOptions()
                 .setHost(target.host())
                 .setPort(target.port())
                 .setMethod(HttpMethod.valueOf(request.getHttpMethod()))
@@ -92,19 +100,13 @@
     private static HttpClientOptions options(final TargetTimeouts timeouts) {
         return new HttpClientOptions()
                 .setConnectTimeout(Math.toIntExact(timeouts.connect().toMillis()))
-                .setKeepAliveTimeout(Math.toIntExact(Math.max(1, timeouts.idle().toSeconds())))
-                .setPipelining(false)
+                .setKeepAlive(false)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
                 .setDecompressionSupported(false);
     }
 
-    private static PoolOptions pool() {
-        return new PoolOptions()
-                .setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET)
-                .setMaxWaitQueueSize(MAX_QUEUED_REQUESTS)
-                .setMaxLifetime(MAX_CONNECTION_AGE_SECONDS)
-                .setMaxLifetimeUnit(TimeUnit.SECONDS)
-                .setCleanerPeriod(POOL_CLEANER_PERIOD_MILLIS);
+    private static PoolOptions pool(final int connections, final int queued) {
+        return new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(queued);
     }
 }
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -16,6 +16,7 @@
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
 import org.balsambank.core.request.NoticeHeaders;
@@ -49,6 +50,7 @@
     private final RelayRequest relayRequest;
     private final Subscriber<? super RelayEvent> subscriber;
     private final TimerService timer;
+    private final ResponseFaults faults;
     private final long silenceTimeoutNanos;
     private final Queue<RelayEvent> events = new ArrayDeque<>(2);
     private final StreamEndDetector endDetector = new StreamEndDetector();
@@ -73,6 +75,7 @@
      * @param subscriber receives the response
      * @param timer the clock and scheduler
      * @param timeouts the time limits
+     * @param faults counts what the target sends instead of the response
      */
     TargetCall(
             final Target target,
@@ -80,12 +83,14 @@
             final RelayRequest relayRequest,
             final Subscriber<? super RelayEvent> subscriber,
             final TimerService timer,
-            final TargetTimeouts timeouts) {
+            final TargetTimeouts timeouts,
+            final ResponseFaults faults) {
         this.target = Objects.requireNonNull(target);
         this.epoch = Objects.requireNonNull(epoch);
         this.relayRequest = Objects.requireNonNull(relayRequest);
         this.subscriber = Objects.requireNonNull(subscriber);
         this.timer = Objects.requireNonNull(timer);
+        this.faults = Objects.requireNonNull(faults);
         this.silenceTimeoutNanos = relayRequest.getStreaming()
                 ? timeouts.streamSilence().toNanos()
                 : timeouts.responseSilence().toNanos();
@@ -127,7 +132,14 @@
                 .subscribe(tick -> checkSilence(), error -> fail(Reason.LOST, "silence timer failed"));
         connected
                 .send(Buffer.buffer(relayRequest.getBody().toByteArray()))
-                .onComplete(this::responseReceived, error -> fail(Reason.LOST, "no response: " + error.getMessage()));
+                .onComplete(this::responseReceived, this::responseFailed);
+    }
+
+    private void responseFailed(final Throwable error) {
+        if (!finished && !terminated) {
+            faults.countIfMalformed(error);
+        }
+        fail(Reason.LOST, "no response: " + error.getMessage());
     }
 
     private void responseReceived(final HttpClientResponse received) {
@@ -135,7 +147,13 @@
             return;
         }
         received.pause();
+        if (JoinedHead.matches(received.statusMessage(), received.headers())) {
+            faults.count(ResponseFaults.Kind.JOINED_HEAD);
+            fail(Reason.LOST, "the head holds the status line of another response");
+            return;
+        }
         if (!TargetHeaders.mayBelongTo(received.headers(), relayRequest)) {
+            faults.count(ResponseFaults.Kind.OTHER_REQUEST);
             fail(Reason.LOST, "the response names another request");
             return;
         }
@@ -153,13 +171,20 @@
         }
         received.handler(this::chunkReceived)
                 .endHandler(ignored -> responseEnded())
-                .exceptionHandler(error -> fail(Reason.LOST, "truncated response: " + error.getMessage()));
+                .exceptionHandler(this::responseTruncated);
         events.add(RelayEvent.newBuilder()
                 .setHead(TargetHeaders.toRelayHead(received.statusCode(), received.headers()))
                 .build());
         drain();
     }
 
+    private void responseTruncated(final Throwable error) {
+        if (!finished && !terminated) {
+            faults.countIfMalformed(error);
+        }
+        fail(Reason.LOST, "truncated response: " + error.getMessage());
+    }
+
     private Optional<Reason> refusalReason(final int status) {
         if (target.kind() != TargetKind.MODEL_RUNNER) {
             return Optional.empty();
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
@@ -19,6 +19,7 @@
 import org.balsambank.core.id.AdapterRef;
 import org.balsambank.core.id.BootId;
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
 import org.balsambank.core.port.TargetReport;
@@ -39,16 +40,19 @@
 
     private final HttpClient client;
     private final TargetTimeouts timeouts;
+    private final ResponseFaults faults;
 
     /**
      * Creates a client.
      *
      * @param client the HTTP client
      * @param timeouts the time limits
+     * @param faults counts what targets send instead of a response
      */
-    TargetControlClient(final HttpClient client, final TargetTimeouts timeouts) {
+    TargetControlClient(final HttpClient client, final TargetTimeouts timeouts, final ResponseFaults faults) {
         this.client = Objects.requireNonNull(client);
         this.timeouts = Objects.requireNonNull(timeouts);
+        this.faults = Objects.requireNonNull(faults);
     }
 
     /**
@@ -111,8 +115,19 @@
                         new TargetException(Reason.NOT_SENT, "no connection: " + error.getMessage())));
     }
 
-    private static Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
-        return sent.compose(response -> response.body().compose(body -> checkStatus(response.statusCode(), body)));
+    private Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
+        return sent.onFailure(faults::countIfMalformed).compose(this::checkHead).compose(response -> response.body()
+                .compose(body -> checkStatus(response.statusCode(), body)));
+    }
+
+    private Future<HttpClientResponse> checkHead(final HttpClientResponse response) {
+        if (JoinedHead.matches(response.statusMessage(), response.headers())) {
+            faults.count(ResponseFaults.Kind.JOINED_HEAD);
+            response.request().reset();
+            return Future.failedFuture(
+                    new TargetException(Reason.LOST, "the head holds the status line of another response"));
+        }
+        return Future.succeededFuture(response);
     }
 
     private static Future<Buffer> checkStatus(final int status, final Buffer body) {
