End a request at once if its response was read as the rest of a copy's body

Cause: a late copy that ends inside its body, or that has no length, is passed over by its id, but its body isn't complete. The next response on the connection, which is that of the waiting request, is read as the rest of the body (or as the trailers behind the last chunk) and skipped. Nothing else comes, so the request waits for its deadline.

Ruled out: a bound on the time in which a copy must end, since a sound stream may pause as long; closing the connection at each response to another request, since the request that waits would be lost with every whole copy.

Change: while the body of a response to another request is skipped, the id of the waiting request is searched in it as the value of a header (Netty's search over chunks), and in its trailers.

Conclusion: a copy cut short costs the waiting request its response, as nothing tells where it begins, but no time. A body that names the id of the waiting request behind a colon is taken for its response too; the request is then lost.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseFaults.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseFaults.java
@@ -60,6 +60,15 @@
                 .write();
     }
 
+    /**
+     * Records a response that was read as a part of the body of another.
+     *
+     * @param waiting the request that waits; it is lost
+     */
+    void swallowed(final RequestId waiting) {
+        line("response_swallowed", "swallowed").with("request", waiting.value()).write();
+    }
+
     /** Records bytes on a connection on which no request waits. */
     void unsolicited() {
         line("response_unsolicited", "unsolicited").write();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -1,12 +1,14 @@
 package org.balsambank.gateway.target;
 
 import java.util.Objects;
+import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -14,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.balsambank.core.serving.request.AttemptListener;
@@ -43,7 +46,7 @@
     private HttpResponse head;
     private CompositeByteBuf buffer;
     private EventStreamTail streamTail;
-    private boolean foreignResponse;
+    private Optional<SwallowedResponse> foreignBody = Optional.empty();
     private boolean accepted;
     private boolean headForwarded;
     private boolean chunkSeen;
@@ -123,7 +126,7 @@
      * @return true until the end of that response
      */
     boolean foreignResponse() {
-        return foreignResponse;
+        return foreignBody.isPresent();
     }
 
     /**
@@ -163,8 +166,8 @@
      * @return false if the response belongs to another request
      */
     boolean head(final HttpResponse received) {
-        foreignResponse = !dialect.belongsTo(received, id);
-        if (foreignResponse) {
+        if (!dialect.belongsTo(received, id)) {
+            foreignBody = Optional.of(new SwallowedResponse(id));
             return false;
         }
         head = received;
@@ -185,10 +188,20 @@
     }
 
     /**
-     * Handles the end of a response to another request; the response to this one may follow.
+     * Handles a chunk of the body of a response to another request. After the last one, the response to this one may
+     * follow.
+     *
+     * @param chunk the bytes; not released
+     * @return false if the response to this request was read as a part of that body, so that no other follows
      */
-    void foreignResponseEnded() {
-        foreignResponse = false;
+    boolean foreignChunk(final HttpContent chunk) {
+        if (foreignBody.orElseThrow().endsIn(chunk)) {
+            return false;
+        }
+        if (chunk instanceof LastHttpContent) {
+            foreignBody = Optional.empty();
+        }
+        return true;
     }
 
     /**
@@ -197,7 +210,7 @@
      * @param chunk the bytes; released by this method
      */
     void chunk(final ByteBuf chunk) {
-        if (foreignResponse || ended || head == null) {
+        if (ended || head == null) {
             chunk.release();
             return;
         }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -184,8 +184,8 @@
         }
         final ByteBuf chunk = content.content();
         final TargetAttempt attempt = currentAttempt;
-        if (last && attempt.foreignResponse()) {
-            attempt.foreignResponseEnded();
+        if (attempt.foreignResponse()) {
+            handleForeignChunk(attempt, content);
             return;
         }
         if (last) {
@@ -204,6 +204,13 @@
         }
     }
 
+    private void handleForeignChunk(final TargetAttempt attempt, final HttpContent content) {
+        if (!attempt.foreignChunk(content)) {
+            pool.faults().swallowed(attempt.id());
+            connectionLost();
+        }
+    }
+
     /**
      * Returns whether the connection may return to the pool.
      *
