--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -185,17 +185,17 @@
             connectionLost();
             return;
         }
+        final TargetAttempt attempt = currentAttempt;
+        if (attempt.foreignResponse()) {
+            handleForeignChunk(attempt, content);
+            return;
+        }
         final ByteBuf chunk = content.content();
         if (copies.append(chunk) || last && copies.appendBehindEnd(decoder.unreadBytes())) {
-            pool.faults().malformed(currentAttempt.id(), new DecoderException("another response in the body"));
+            pool.faults().malformed(attempt.id(), new DecoderException("another response in the body"));
             connectionLost();
             return;
         }
-        final TargetAttempt attempt = currentAttempt;
-        if (last && attempt.foreignResponse()) {
-            attempt.foreignResponseEnded();
-            return;
-        }
         if (last) {
             currentAttempt = null;
             idleSinceNanos = System.nanoTime();
@@ -212,6 +212,13 @@
         }
     }
 
+    private void handleForeignChunk(final TargetAttempt attempt, final HttpContent content) {
+        if (!attempt.foreignChunk(content)) {
+            pool.faults().swallowed(attempt.id());
+            connectionLost();
+        }
+    }
+
     /**
      * Returns whether the connection may return to the pool.
      *
