Let two tests of cut links wait for what they test

Traced: (1) with the whole response the first call ends before the VM notices the end of the link, so that the second call is sent on that link and no new one is opened (the only failing case was that length); the test now waits for a call on the first link that gets no response, so the end was noticed. (2) The abandoned link may be reset before the test writes the rest of the response on it; then the rest can't arrive, which the test now takes as such.

--- a/balsambank-peer/src/test/java/org/balsambank/peer/CutFrameTest.java
+++ b/balsambank-peer/src/test/java/org/balsambank/peer/CutFrameTest.java
@@ -64,12 +64,15 @@
     @MethodSource("lengths")
     void responseThatWasCutByAReconnectDoesNotAnswerTheCallWithTheSameId(final int length) throws Exception {
         final TestSubscriber<RelayChunk> first = call();
+        final TestSubscriber<RelayChunk> unanswered = call();
         try (Socket link = accept()) {
             assertEquals(1, readCall(link));
+            assertEquals(2, readCall(link));
             link.getOutputStream().write(COPY, 0, length);
         }
         assertTrue(first.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
         assertEquals(length == COPY.length, isComplete(first));
+        assertTrue(unanswered.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS), "the end of the link was not noticed");
         final TestSubscriber<RelayChunk> second = call();
         try (Socket link = accept()) {
             assertEquals(1, readCall(link));
@@ -92,7 +95,7 @@
             final TestSubscriber<RelayChunk> second = call();
             try (Socket link = accept()) {
                 assertEquals(1, readCall(link));
-                abandoned.getOutputStream().write(COPY, PART, COPY.length - PART);
+                writeUnlessReset(abandoned, Arrays.copyOfRange(COPY, PART, COPY.length));
                 link.getOutputStream().write(response(1, OWN));
                 assertTrue(second.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
             }
@@ -154,6 +157,15 @@
         return link;
     }
 
+    /** Writes on a link that the VM has given up, and may have reset already; then the bytes can't arrive. */
+    private static void writeUnlessReset(final Socket link, final byte[] bytes) {
+        try {
+            link.getOutputStream().write(bytes);
+        } catch (final IOException e) {
+            assertTrue(link.isConnected(), "the link was never open");
+        }
+    }
+
     /** Returns the id of the next call, past other frames. */
     private static long readCall(final Socket link) throws IOException {
         PeerFrame frame = readFrame(link);
