Read what arrived behind a body that ends like the beginning of a copy

What a caller saw (MIXED): a success whose body ended with "HTTP/1.1 200 OK", a line end and "Serve".

Cause: a target breaks a response off and sends it again, whole, in the same write. If a read of the socket ends just behind the body, that is inside the head of the copy and before its id, CopyScanner can't decide, and the body was taken as complete. Netty first reads 2,048 bytes from a connection; the copy was already in the socket.

JoinedResponseTest, five lengths of a response about the first read: 4 gave a complete success with a wrong body.

Change: the end of a body that only the bytes behind it can tell from the beginning of another response is held until the sockets were read once more. Bytes that arrive meanwhile break the response off; the end of the connection, a reset or nothing complete it. Bytes behind the body that go on with what began in it break it off at once, without an id.

Not seen still: a copy of which nothing arrives until the next read.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
@@ -61,16 +61,25 @@
      * Reads the bytes behind the end of the body.
      *
      * @param bytes the bytes; neither read nor released
-     * @return whether another response begins in the body and goes on in these bytes
+     * @return whether another response may begin in the body and go on in these bytes
      */
     boolean appendBehindEnd(final ByteBuf bytes) {
-        if (pending.isEmpty()) {
+        if (pending.isEmpty() || !bytes.isReadable()) {
             return false;
         }
         final int bodyEnd = pending.length();
         final int length = Math.min(bytes.readableBytes(), MAX_HEAD_CHARS);
         pending.append(bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
-        return search(bodyEnd);
+        return search(bodyEnd) || pending.length() > length;
+    }
+
+    /**
+     * Returns whether the body so far ends with what may be the beginning of another response.
+     *
+     * @return true if only the bytes behind it can tell
+     */
+    boolean endsUndecided() {
+        return !pending.isEmpty();
     }
 
     private boolean search(final int limit) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.balsambank.core.id.RequestId;
 import org.balsambank.gateway.loop.Channels;
+import org.balsambank.gateway.loop.NextPoll;
 
 /**
  * One connection to a target. Carries one request at a time.
@@ -41,6 +42,9 @@
     private boolean reusable = true;
     private boolean informational;
     private boolean responseStarted;
+    /** The end of a complete body, until what arrived behind it is read: it may be a part of another response. */
+    private Optional<ByteBuf> heldEnd = Optional.empty();
+
     private long idleSinceNanos;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
@@ -109,6 +113,7 @@
      */
     void cancel() {
         currentAttempt = null;
+        releaseHeld();
         reusable = false;
         if (responseStarted) {
             channel.close();
@@ -192,18 +197,17 @@
             return;
         }
         if (copies.append(chunk) || last && copies.appendBehindEnd(decoder.unreadBytes())) {
-            pool.faults().malformed(attempt.id(), new DecoderException("another response in the body"));
+            anotherResponseInBody();
             connectionLost();
             return;
         }
         if (last) {
-            currentAttempt = null;
-            idleSinceNanos = System.nanoTime();
-            reusable &= attempt.lastChunk(chunk.retain());
-            if (decoder.endResponse()) {
-                unsolicitedBytes();
+            heldEnd = Optional.of(chunk.retain());
+            if (copies.endsUndecided() && !decoder.endResponse()) {
+                NextPoll.runAfter(channel.eventLoop(), () -> completeHeld(attempt));
+            } else {
+                completeHeld(attempt);
             }
-            pool.release(this);
             return;
         }
         attempt.chunk(chunk.retain());
@@ -212,6 +216,27 @@
         }
     }
 
+    /** Completes the response whose end is held, unless it was completed, lost or cancelled since. */
+    private void completeHeld(final TargetAttempt attempt) {
+        if (heldEnd.isEmpty() || currentAttempt != attempt) {
+            return;
+        }
+        final ByteBuf end = heldEnd.get();
+        heldEnd = Optional.empty();
+        currentAttempt = null;
+        idleSinceNanos = System.nanoTime();
+        reusable &= attempt.lastChunk(end);
+        if (decoder.endResponse()) {
+            unsolicitedBytes();
+        }
+        pool.release(this);
+    }
+
+    private void releaseHeld() {
+        heldEnd.ifPresent(ByteBuf::release);
+        heldEnd = Optional.empty();
+    }
+
     private void handleForeignChunk(final TargetAttempt attempt, final HttpContent content) {
         if (!attempt.foreignChunk(content)) {
             pool.faults().swallowed(attempt.id());
@@ -231,11 +256,16 @@
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
         if (event instanceof ChannelInputShutdownEvent) {
+            completeHeld(currentAttempt);
             connectionLost();
         }
         super.userEventTriggered(context, event);
     }
 
+    private void anotherResponseInBody() {
+        pool.faults().malformed(currentAttempt.id(), new DecoderException("another response in the body"));
+    }
+
     private void unsolicitedBytes() {
         if (reusable) {
             pool.faults().unsolicited();
@@ -245,8 +275,13 @@
 
     @Override
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
-        if (cause instanceof StrictResponseDecoder.UnsolicitedBytesException) {
+        final boolean unsolicited = cause instanceof StrictResponseDecoder.UnsolicitedBytesException;
+        if (unsolicited && heldEnd.isPresent()) {
+            anotherResponseInBody();
+        } else if (unsolicited) {
             unsolicitedBytes();
+        } else {
+            completeHeld(currentAttempt);
         }
         reusable = false;
         connectionLost();
@@ -255,6 +290,7 @@
 
     @Override
     public void channelInactive(final ChannelHandlerContext context) {
+        completeHeld(currentAttempt);
         reusable = false;
         connectionLost();
         pool.remove(this);
@@ -263,6 +299,7 @@
     private void connectionLost() {
         final TargetAttempt attempt = currentAttempt;
         currentAttempt = null;
+        releaseHeld();
         reusable = false;
         if (channel != null) {
             channel.close();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
@@ -34,6 +34,11 @@
 final class JoinedResponseTest {
     private static final int TIMEOUT_SECONDS = 10;
     private static final int NO_LIMIT = 0;
+    /** The most that Netty reads at first from a new connection. */
+    private static final int FIRST_READ_BYTES = 2_048;
+    /** How much of a copy, without its id, ends a body. */
+    private static final int COPIED_BYTES = 20;
+
     private static final String SUCCESS =
             "HTTP/1.1 200 OK\r\nServer: runner\r\nVia: 1.1 a\r\nId: r1\r\nContent-Length: 4\r\n\r\nmine";
     private static final String FAILURE =
@@ -117,6 +122,28 @@
         assertWholeOrBroken(exchange("r1"));
     }
 
+    // Guards against MIXED: a copy that begins in the last bytes of a body and whose id is read later than they are.
+    @ParameterizedTest
+    @MethodSource("lengthsOfARead")
+    void partOfAResponseThatIsReadBeforeTheRestOfItsCopyIsNotFilledUp(final int length) throws Exception {
+        final String head = "HTTP/1.1 200 OK\r\nServer: runner\r\nId: r1\r\nContent-Length: 1900\r\n";
+        final int padding = length - head.length() - "Via: \r\n\r\n".length() - 1_900;
+        final String response = head + "Via: " + "a".repeat(padding) + "\r\n\r\n" + "x".repeat(1_900);
+        listen(ignored -> "");
+        target.addResponse(response.substring(0, length - COPIED_BYTES) + response);
+        assertFalse(exchange("r1").last);
+    }
+
+    @Test
+    void bodyThatEndsLikeAResponseIsWholeIfItsTargetCloses() throws Exception {
+        listen(response -> "");
+        target.addResponse("HTTP/1.1 200 OK\r\nId: r1\r\nConnection: close\r\n\r\nan H");
+        target.closeAfterResponses();
+        final RecordingListener response = exchange("r1");
+        assertEquals(List.of(AttemptEnd.COMPLETE), response.ends);
+        assertEquals("an H", response.body.toString());
+    }
+
     // Guards against sound responses that are lost since their body quotes a response.
     @Test
     void bodyThatQuotesAResponseIsWhole() throws Exception {
@@ -132,6 +159,10 @@
         return IntStream.range(1, CHUNKED_SUCCESS.length()).boxed();
     }
 
+    private static Stream<Integer> lengthsOfARead() {
+        return IntStream.rangeClosed(FIRST_READ_BYTES - 3, FIRST_READ_BYTES + 1).boxed();
+    }
+
     private static Stream<Integer> partsOfLong() {
         return IntStream.range(1, LONG_SUCCESS.length()).boxed();
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
@@ -25,6 +25,7 @@
     private final Deque<String> responses = new ConcurrentLinkedDeque<>();
     private final UnaryOperator<String> copy;
     private volatile int connections;
+    private volatile boolean closing;
 
     /** Starts a target; the operator returns what is sent a second time of a response, empty for nothing. */
     LateCopyTarget(final UnaryOperator<String> copy) throws IOException {
@@ -42,6 +43,11 @@
         responses.add(response);
     }
 
+    /** Closes each connection after a response. */
+    void closeAfterResponses() {
+        closing = true;
+    }
+
     /** Returns the number of connections accepted so far. */
     int connections() {
         return connections;
@@ -61,6 +67,10 @@
             final String response = responses.poll();
             connection.getOutputStream().write((late + response).getBytes(StandardCharsets.ISO_8859_1));
             late = copy.apply(response);
+            if (closing) {
+                connection.close();
+                return;
+            }
         }
     }
 
