--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTarget.java
@@ -26,6 +26,7 @@
     private final UnaryOperator<String> copy;
     private volatile int connections;
     private volatile Socket newest;
+    private volatile boolean closing;
 
     /** Starts a target; the operator returns what is sent a second time of a response, empty for nothing. */
     LateCopyTarget(final UnaryOperator<String> copy) throws IOException {
@@ -48,6 +49,11 @@
         newest.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** Closes each connection after a response. */
+    void closeAfterResponses() {
+        closing = true;
+    }
+
     /** Returns the number of connections accepted so far. */
     int connections() {
         return connections;
@@ -68,6 +74,10 @@
             final String response = responses.poll();
             connection.getOutputStream().write((late + response).getBytes(StandardCharsets.ISO_8859_1));
             late = copy.apply(response);
+            if (closing) {
+                connection.close();
+                return;
+            }
         }
     }
 
