Close the connection of a refusal, report or order whose body has no end

What would be seen: connections and memory of a VM used up by a target in trouble, which sends bytes without end.

Cause: the body of a refusal was read and thrown away without any limit, also of time, after the request had ended. The limit of time of reports and orders counted from the last byte, so a byte now and then held the call for ever, and their bodies were kept whatever their size.

Change: a refusal closes its connection, which carries nothing else any more; a report or order ends at its limit from its sending, closes its connection if it fails, and has at most 4 MB of body.

Not changed: calls to the key-value service and the VM list end at their limit of time too, but their connections and bodies may outlive it.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -161,12 +161,12 @@
         awaitingBytes = false;
         final Optional<Reason> refusal = refusalReason(received.statusCode());
         if (refusal.isPresent()) {
-            received.handler(ignored -> {}).exceptionHandler(ignored -> {});
-            received.resume();
+            received.exceptionHandler(ignored -> {});
             signalFailure(new TargetException(
                     refusal.get(),
                     "status " + received.statusCode(),
                     NoticeHeaders.read(TargetHeaders.toRelayHead(received.statusCode(), received.headers()))));
+            abort();
             return;
         }
         received.handler(this::chunkReceived)
--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetControlClient.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -27,7 +29,8 @@
 /**
  * Reads reports of targets and sends engines the commands to load and evict adapters.
  *
- * <p>Confined to the decision loop.
+ * <p>Invariants: a call that failed holds no connection; a body holds at most {@link #MAX_BODY_BYTES}. Confined to the
+ * decision loop.
  */
 final class TargetControlClient {
     private static final String REPORT_PATH = "/load";
@@ -35,6 +38,7 @@
     private static final String EVICT_PATH = "/v1/unload_lora_adapter";
     private static final String NAME = "lora_name";
     private static final String PATH = "lora_path";
+    private static final int MAX_BODY_BYTES = 4 << 20;
     private static final int STATUS_OK = 200;
     private static final int STATUS_FENCED = 412;
 
@@ -62,8 +66,8 @@
      * @return the report
      */
     Single<TargetReport> report(final Target target) {
-        return Single.create(emitter -> request(target, HttpMethod.GET, REPORT_PATH, timeouts.report())
-                .compose(connected -> exchange(connected.send()))
+        return Single.create(emitter -> request(target, HttpMethod.GET, REPORT_PATH)
+                .compose(connected -> exchange(connected, connected.send(), timeouts.report()))
                 .map(TargetControlClient::parse)
                 .onComplete(emitter::onSuccess, error -> emitter.tryOnError(toTargetException(error))));
     }
@@ -94,36 +98,52 @@
     }
 
     private Completable sendCommand(final Target target, final Epoch epoch, final String path, final JsonObject body) {
-        return Completable.create(emitter -> request(target, HttpMethod.POST, path, timeouts.command())
+        return Completable.create(emitter -> request(target, HttpMethod.POST, path)
                 .compose(connected -> {
                     connected.putHeader("Content-Type", "application/json");
                     connected.putHeader(TargetHeaders.FENCING_NUMBER, String.valueOf(epoch.value()));
-                    return exchange(connected.send(body.toBuffer()));
+                    return exchange(connected, connected.send(body.toBuffer()), timeouts.command());
                 })
                 .onComplete(ignored -> emitter.onComplete(), error -> emitter.tryOnError(toTargetException(error))));
     }
 
-    private Future<HttpClientRequest> request(
-            final Target target, final HttpMethod method, final String path, final Duration timeout) {
+    private Future<HttpClientRequest> request(final Target target, final HttpMethod method, final String path) {
         return client.request(new RequestOptions()
                         .setHost(target.host())
                         .setPort(target.port())
                         .setMethod(method)
-                        .setURI(path)
-                        .setIdleTimeout(timeout.toMillis()))
+                        .setURI(path))
                 .recover(error -> Future.failedFuture(
                         new TargetException(Reason.NOT_SENT, "no connection: " + error.getMessage())));
     }
 
-    private Future<Buffer> exchange(final Future<HttpClientResponse> sent) {
-        return sent.onFailure(faults::countIfMalformed).compose(this::checkHead).compose(response -> response.body()
-                .compose(body -> checkStatus(response.statusCode(), body)));
+    private Future<Buffer> exchange(
+            final HttpClientRequest request, final Future<HttpClientResponse> sent, final Duration timeout) {
+        return sent.onFailure(faults::countIfMalformed)
+                .compose(this::checkHead)
+                .compose(response -> readBody(response).compose(body -> checkStatus(response.statusCode(), body)))
+                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .onFailure(ignored -> request.reset());
+    }
+
+    private static Future<Buffer> readBody(final HttpClientResponse response) {
+        final Promise<Buffer> read = Promise.promise();
+        final Buffer body = Buffer.buffer();
+        response.handler(data -> {
+                    if (body.length() + data.length() > MAX_BODY_BYTES) {
+                        read.tryFail("the body is too long");
+                    } else {
+                        body.appendBuffer(data);
+                    }
+                })
+                .endHandler(ignored -> read.tryComplete(body))
+                .exceptionHandler(read::tryFail);
+        return read.future();
     }
 
     private Future<HttpClientResponse> checkHead(final HttpClientResponse response) {
         if (JoinedHead.matches(response.statusMessage(), response.headers())) {
             faults.count(ResponseFaults.Kind.JOINED_HEAD);
-            response.request().reset();
             return Future.failedFuture(
                     new TargetException(Reason.LOST, "the head holds the status line of another response"));
         }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -41,6 +41,8 @@
 import org.balsambank.protocol.generated.relay.RelayRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -271,6 +273,59 @@
         response.cancel();
     }
 
+    // Guards against connections and memory that are held by bodies without end, also after the call has failed.
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Service Unavailable", "200 OK"})
+    void connectionOfABodyWithoutEndIsClosed(final String status) throws Exception {
+        for (final boolean trickle : new boolean[] {true, false}) {
+            final CountDownLatch closed = new CountDownLatch(1);
+            final RawServer server = new RawServer(vertx, (socket, request) -> {
+                socket.closeHandler(ignored -> closed.countDown());
+                socket.write("HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+                writeWithoutEnd(socket, trickle ? " " : " ".repeat(60_000));
+            });
+            client = client(loop.timer(), PATIENCE, SILENCE);
+            final Target target = target(TargetKind.MODEL_RUNNER, server.port());
+            final Throwable error = client.report(target)
+                    .subscribeOn(loop.timer().scheduler())
+                    .materialize()
+                    .timeout(MAX_WAIT.toSeconds(), TimeUnit.SECONDS)
+                    .blockingGet()
+                    .getError();
+            assertEquals(Reason.LOST, ((TargetException) error).reason());
+            assertTrue(closed.await(MAX_WAIT.toSeconds(), TimeUnit.SECONDS));
+        }
+    }
+
+    // Guards against memory that is used up by a report.
+    @Test
+    void reportThatIsTooLongIsLost() {
+        final String body = "{\"bootId\":\"b\"" + " ".repeat(5 << 20) + "}";
+        final RawServer server = new RawServer(
+                vertx, (socket, request) -> socket.write(OK + "Content-Length: " + body.length() + "\r\n\r\n" + body));
+        final Throwable error = client.report(target(TargetKind.MODEL_RUNNER, server.port()))
+                .subscribeOn(loop.timer().scheduler())
+                .materialize()
+                .blockingGet()
+                .getError();
+        assertEquals(Reason.LOST, ((TargetException) error).reason());
+    }
+
+    // Guards against connections that are held by the bodies of refusals, which nobody reads.
+    @Test
+    void connectionOfARefusalWithoutEndIsClosed() throws Exception {
+        final CountDownLatch closed = new CountDownLatch(1);
+        final TestSubscriber<RelayEvent> refused = call(
+                (socket, request) -> {
+                    socket.closeHandler(ignored -> closed.countDown());
+                    socket.write("HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    writeWithoutEnd(socket, " ");
+                },
+                true);
+        assertEquals(Reason.REFUSED, reason(refused));
+        assertTrue(closed.await(MAX_WAIT.toSeconds(), TimeUnit.SECONDS));
+    }
+
     @Test
     void readsReportAndSendsOrders() {
         final RawServer server = new RawServer(vertx, (socket, request) -> {
@@ -291,8 +346,12 @@
     }
 
     private HttpTargetClient client(final TimerService timer, final Duration silence) {
+        return client(timer, silence, PATIENCE);
+    }
+
+    private HttpTargetClient client(final TimerService timer, final Duration silence, final Duration report) {
         return new HttpTargetClient(
-                vertx, timer, new TargetTimeouts(PATIENCE, silence, silence, PATIENCE, PATIENCE), registry);
+                vertx, timer, new TargetTimeouts(PATIENCE, silence, silence, report, PATIENCE), registry);
     }
 
     private List<Double> faults() {
@@ -313,6 +372,14 @@
         Completable.fromRunnable(task).subscribeOn(loop.timer().scheduler()).blockingAwait();
     }
 
+    private void writeWithoutEnd(final NetSocket socket, final String data) {
+        vertx.setPeriodic(5, timer -> {
+            if (!socket.writeQueueFull()) {
+                socket.write(chunk(data)).onFailure(ignored -> vertx.cancelTimer(timer));
+            }
+        });
+    }
+
     private void fill(final NetSocket socket, final CompletableFuture<Boolean> writesStalled, final String data) {
         final int[] left = {1024};
         final int[] stalledChecks = {0};
