Take a lost response for a crash only if the target's process has ended

No target had ended.

Cause: each lost or broken response counted as a crash of its target's start; two starts made a verdict of 24 hours that nothing but time ended.

Ruled out: evidence that is told wrongly between VMs (the tests fail with one VM too); a fault of the targets' announcements (no start changed).

Change: - A sender tells with a loss how to find out whether the process has ended (LossFinding): bytes that are no response, another connection that stays open for 400 ms, or a new one that is accepted and stays open, show that it lives; all connections ended and a new one refused show that not. - Until then the loss is undecided. It convicts nobody; two of them hold the same request back. What can't be found out counts as a crash, as before. - The first response to the same request ends the suspicion on all VMs and in the store.

LossCheckTest shows the findings over real sockets.

The state machines of requests and of parts are not merged: crashes at the same moment count once for a part, but each for a request, since a request that comes to all VMs at once would else be sent by all of them twice.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/ServingCore.java
@@ -209,7 +209,8 @@
     private List<SavedEvidence> createSavedEvidence(
             final KeyValueStore store, final TargetCrashTracker crashTracker, final LongSupplier wallMillis) {
         return List.of(
-                new SavedPoisonRequests(crashTracker.requests(), store, members::isFirstFor, timer, wallMillis, log),
+                new SavedPoisonRequests(
+                        crashTracker.requests().registry(), store, members::isFirstFor, timer, wallMillis, log),
                 new SavedPromptParts(crashTracker.parts(), store, members::isFirstFor, timer, log));
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -331,7 +331,7 @@
         digest.getUsesList().forEach(usage -> applyUsage(edge, usage));
         digest.getTeamsList().forEach(usage -> applyUnits(edge, usage));
         digest.getHoldingsList().forEach(holding -> applyResidency(edge, holding));
-        digest.getBrokenList().forEach(crash -> applyCrash(edge, crash));
+        digest.getBrokenList().forEach(crash -> applyCrash(edge, crash, digest.getFull()));
         digest.getPartsList().forEach(report -> applyPart(edge, report));
         digest.getLimitsList().forEach(report -> applyLimit(edge, report));
         if (isParent(edge)) {
@@ -366,8 +366,8 @@
         }
     }
 
-    private void applyCrash(final TreeEdge edge, final BrokenRuns crash) {
-        if (crashTracker.recordReport(crash)) {
+    private void applyCrash(final TreeEdge edge, final BrokenRuns crash, final boolean full) {
+        if (crashTracker.recordReport(crash, !full)) {
             edgesExcept(edge).forEach(each -> each.crashed(crash));
         }
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/FleetMembers.java
@@ -214,7 +214,13 @@
                 .orElse(self);
     }
 
-    private int rank(final String subject) {
+    /**
+     * Returns how many of the registered VMs come before this one for a subject.
+     *
+     * @param subject the subject
+     * @return 0 on the VM that decides about it
+     */
+    public int rank(final String subject) {
         return RendezvousHash.rank(
                 subject, self.value(), others().stream().map(each -> each.id().value()));
     }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -7,21 +7,26 @@
 import org.balsambank.core.id.Fingerprint;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.log.DecisionLog;
+import org.balsambank.core.serving.poison.LossFinding;
 import org.balsambank.core.serving.poison.PromptPartTracker;
+import org.balsambank.core.serving.poison.RequestVerdicts;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 import org.balsambank.core.target.CrashId;
-import org.balsambank.core.target.PoisonRequestRegistry;
 import org.balsambank.core.time.TimerService;
 import org.balsambank.protocol.generated.serving.BrokenRuns;
 
 /**
  * Tracks requests whose targets crashed while running them, including those reported by other VMs.
  *
- * <p>It stops a request that crashes every target that starts to run it and that callers retry at any VM. Confined to
+ * <p>It stops a request that crashes every target that starts to run it and that callers retry at any VM, and tells the
+ * other VMs of its crashes, trials and responses. A report without a target is of a trial or a response. Confined to
  * the decision loop.
  */
 public final class TargetCrashTracker {
-    private final PoisonRequestRegistry register;
+    private static final String TRIAL = "trial";
+    private static final String RESPONSE = "response";
+
+    private final RequestVerdicts requests;
     private final List<BrokenRuns> unreported = new ArrayList<>();
     private final PromptPartTracker parts;
 
@@ -29,11 +34,11 @@
      * Creates an instance without crashes.
      *
      * @param timer the timer service
-     * @param members the registered VMs, of which one grants the trials of a part
+     * @param members the registered VMs, which grant the trials in turn
      * @param log the decision log
      */
     public TargetCrashTracker(final TimerService timer, final FleetMembers members, final DecisionLog log) {
-        register = new PoisonRequestRegistry(timer);
+        requests = new RequestVerdicts(timer, fingerprint -> members.rank(fingerprint.value()), log);
         parts = new PromptPartTracker(timer, part -> members.isFirstFor(part.value()), log);
     }
 
@@ -47,32 +52,56 @@
     }
 
     /**
-     * Returns the crashes of whole requests.
+     * Returns the verdicts on whole requests.
+     *
+     * @return the verdicts
+     */
+    public RequestVerdicts requests() {
+        return requests;
+    }
+
+    /**
+     * Records what the connections to a target show after a response of it was lost.
      *
-     * @return the registry
+     * @param loss the loss
+     * @param finding what they show
      */
-    public PoisonRequestRegistry requests() {
-        return register;
+    public void decide(final RequestVerdicts.Loss loss, final LossFinding finding) {
+        if (requests.decide(loss, finding)) {
+            unreported.add(crashReport(loss.fingerprint(), loss.crash()));
+        }
     }
 
     /**
-     * Records that a target was lost while running a request.
+     * Records that a target has responded to a request.
      *
      * @param fingerprint the fingerprint of the request
-     * @param target the target
      */
-    public void recordCrash(final Fingerprint fingerprint, final TargetAnnouncement target) {
-        final CrashId crash = crashOf(target);
-        if (register.recordObserved(fingerprint, crash)) {
-            unreported.add(report(fingerprint, crash));
+    public void recordResponse(final Fingerprint fingerprint) {
+        if (requests.recordResponse(fingerprint)) {
+            unreported.add(report(fingerprint, "", RESPONSE));
         }
     }
 
-    private static BrokenRuns report(final Fingerprint fingerprint, final CrashId crash) {
+    /**
+     * Records that the trial of a refused request is sent.
+     *
+     * @param fingerprint the fingerprint of the request
+     */
+    public void recordTrial(final Fingerprint fingerprint) {
+        requests.trialSent(fingerprint);
+        unreported.add(report(fingerprint, "", TRIAL));
+    }
+
+    private static BrokenRuns crashReport(final Fingerprint fingerprint, final CrashId crash) {
+        return report(fingerprint, crash.target().value(), crash.boot().value());
+    }
+
+    private static BrokenRuns report(final Fingerprint fingerprint, final String target, final String boot) {
         return BrokenRuns.newBuilder()
                 .setFingerprint(fingerprint.value())
-                .setTarget(crash.target().value())
-                .setBoot(crash.boot().value())
+                .setTarget(target)
+                .setBoot(boot)
                 .build();
     }
 
@@ -87,25 +116,23 @@
     }
 
     /**
-     * Records a crash reported by another VM.
-     *
-     * @param crash the report
-     * @return true if the crash was not known before
-     */
-    public boolean recordReport(final BrokenRuns crash) {
-        return register.record(
-                new Fingerprint(crash.getFingerprint()),
-                new CrashId(new TargetId(crash.getTarget()), new BootId(crash.getBoot())));
-    }
-
-    /**
-     * Returns whether a request must not be run again.
+     * Records what another VM has reported.
      *
-     * @param fingerprint the fingerprint of the request
-     * @return true if it has crashed several targets
+     * @param report the report of a crash, a trial or a response
+     * @param recent whether it has just happened
+     * @return true if other VMs may not know it
      */
-    public boolean isPoison(final Fingerprint fingerprint) {
-        return register.verdict(fingerprint) == PoisonRequestRegistry.Verdict.POISON;
+    public boolean recordReport(final BrokenRuns report, final boolean recent) {
+        final Fingerprint fingerprint = new Fingerprint(report.getFingerprint());
+        if (!report.getTarget().isEmpty()) {
+            return requests.recordReport(
+                    fingerprint, new CrashId(new TargetId(report.getTarget()), new BootId(report.getBoot())), recent);
+        }
+        if (report.getBoot().equals(RESPONSE)) {
+            return requests.recordResponseReport(fingerprint);
+        }
+        requests.trialSent(fingerprint);
+        return true;
     }
 
     /**
@@ -115,15 +142,17 @@
      */
     public List<BrokenRuns> poisonReports() {
         final List<BrokenRuns> reports = new ArrayList<>();
-        register.poison()
-                .forEach((fingerprint, crashes) -> crashes.forEach(crash -> reports.add(report(fingerprint, crash))));
+        requests.registry()
+                .poison()
+                .forEach((fingerprint, crashes) ->
+                        crashes.forEach(crash -> reports.add(crashReport(fingerprint, crash))));
         return reports;
     }
 
     /**
-     * Returns the crashes observed by this VM since the last call.
+     * Returns what this VM has observed since the last call.
      *
-     * @return the crashes not yet reported to other VMs
+     * @return the reports that other VMs have not got yet
      */
     public List<BrokenRuns> drainUnreported() {
         final List<BrokenRuns> drained = new ArrayList<>(unreported);
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/AttemptListener.java
@@ -1,5 +1,8 @@
 package org.balsambank.core.serving.request;
 
+import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.serving.poison.LossFinding;
+
 /** Receives the events of one attempt at a target. Confined to the decision loop. */
 public interface AttemptListener {
     /**
@@ -20,6 +23,14 @@
     /** Called when a chunk of the body has arrived. */
     void chunk();
 
+    /**
+     * Called right before {@link #ended} with a loss, if it can be found out whether the target's process has ended.
+     * Without this call a loss counts as the end of the process.
+     *
+     * @param finding finds it out when subscribed; emits once on the decision loop, and never fails
+     */
+    default void lossInDoubt(final Single<LossFinding> finding) {}
+
     /**
      * Called once when the attempt has ended, unless it was cancelled.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/RequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.balsambank.core.error.ErrorKind;
 import org.balsambank.core.id.TargetId;
@@ -35,8 +36,6 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_TARGET_CHOICES = 6;
     private static final int MISDIRECTED_REQUEST = 421;
-    /** The chunks of a response after which its target has survived the beginning. */
-    private static final int SURVIVED_CHUNKS = 2;
 
     /** The time that a target may need to end a response after its deadline. */
     private static final Duration TARGET_END_MARGIN = Duration.ofMillis(100);
@@ -188,7 +187,7 @@
         if (ended) {
             return;
         }
-        if (!stillAllowed()) {
+        if (!stillAllowed() || heldBack()) {
             return;
         }
         if (attempts >= MAX_ATTEMPTS || ++targetChoices > MAX_TARGET_CHOICES) {
@@ -227,6 +226,17 @@
         paceAndSend(OptionalLong.empty());
     }
 
+    /** Lets the request wait while it may be the cause of losses that are not decided yet. */
+    private boolean heldBack() {
+        final Optional<Completable> hold = crashGuard.hold();
+        hold.ifPresent(released -> pendingWait = released.subscribe(() -> {
+            if (!ended && mayRun()) {
+                tryNextTarget();
+            }
+        }));
+        return hold.isPresent();
+    }
+
     /** Waits until a target that has paused may take the request; rejects it at once if its deadline comes first. */
     private void waitForPause(final Duration untilEnd) {
         final Duration wait = RetryAfter.spreadAfter(untilEnd, dependencies.random());
@@ -385,7 +395,6 @@
         attempts++;
         mayHaveExecuted = true;
         sentNanos = now;
-        crashGuard.attemptSent();
         dependencies.coldTargetLimiter().recordRequest(target.id());
         final OutgoingAttempt outgoing = new OutgoingAttempt(
                 target,
@@ -401,7 +410,7 @@
                 resolved.plan().version(),
                 dependencies.activePlan().age(),
                 remaining);
-        currentAttempt = sender.send(outgoing, new Attempt());
+        currentAttempt = sender.send(outgoing, crashGuard.watch(target, new Attempt()));
     }
 
     private OptionalLong expectedVersion(final TargetAnnouncement target, final OptionalLong loadedVersion) {
@@ -519,7 +528,6 @@
         private ResponseHead head;
         private boolean forwarded;
         private boolean pauseWanted;
-        private int chunks;
         private long firstChunkMillis = -1;
         private long lastChunkNanos;
         private long longestPauseMillis;
@@ -546,9 +554,6 @@
         public void chunk() {
             final long now = dependencies.timer().nanoTime();
             partPassedOn |= forwarded;
-            if (++chunks == SURVIVED_CHUNKS && head.success()) {
-                crashGuard.targetResponded();
-            }
             if (firstChunkMillis < 0) {
                 firstChunk();
             } else {
@@ -617,9 +622,6 @@
 
         private void handleComplete(final TargetAnnouncement target) {
             if (forwarded) {
-                if (head.success()) {
-                    crashGuard.targetResponded();
-                }
                 dependencies.performance().ended(target.id(), head.serverError() && !pauseWanted);
                 finish("answered_" + head.status(), "");
                 return;
@@ -665,7 +667,6 @@
         private void handleLost(final TargetAnnouncement target) {
             executions++;
             dependencies.performance().ended(target.id(), true);
-            crashGuard.targetLost(target, progress());
             handleUnknownOutcome(target);
         }
 
@@ -682,16 +683,8 @@
             }
         }
 
-        private CrashGuard.Progress progress() {
-            if (head == null || notExecuted(head)) {
-                return CrashGuard.Progress.WAITING;
-            }
-            return chunks < SURVIVED_CHUNKS ? CrashGuard.Progress.BEGUN : CrashGuard.Progress.RESPONDING;
-        }
-
         private void handleBroken(final TargetAnnouncement target) {
             dependencies.performance().ended(target.id(), true);
-            crashGuard.targetLost(target, progress());
             caller.abort();
             finish("answer_broken", "");
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/target/PoisonRequestRegistry.java
@@ -27,10 +27,14 @@
 
     private static final int POISON_THRESHOLD = 2;
     private static final int MAX_FINGERPRINTS = 10_000;
+    private static final int MAX_CLEARED = 1_000;
+    /** Longer than an outdated report or an outdated saved value can be on its way. */
+    private static final long CLEARED_RETENTION_NANOS = Duration.ofSeconds(30).toNanos();
 
     private final TimerService timers;
     private final Map<Fingerprint, CrashRecord> records = new LinkedHashMap<>();
     private final Set<Fingerprint> observed = new HashSet<>();
+    private final Map<Fingerprint, Cleared> cleared = new LinkedHashMap<>();
 
     /**
      * Creates an empty registry.
@@ -91,6 +95,9 @@
      * @return true if the crash was not yet recorded for the fingerprint
      */
     boolean record(final Fingerprint fingerprint, final CrashId crash, final Duration age) {
+        if (isCleared(fingerprint, crash)) {
+            return false;
+        }
         final long crashNanos = timers.nanoTime() - age.toNanos();
         final CrashRecord known = records.remove(fingerprint);
         final CrashRecord updated = known == null ? new CrashRecord(crashNanos) : known;
@@ -111,6 +118,38 @@
         observed.remove(fingerprint);
     }
 
+    /**
+     * Drops all crashes during a request, as a target has responded to it. They are not recorded again by reports that
+     * were on their way.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return false if this is only repeated
+     */
+    public boolean clear(final Fingerprint fingerprint) {
+        final Set<CrashId> dropped = crashes(fingerprint);
+        final Cleared previous = cleared.get(fingerprint);
+        if (previous != null && !outdated(previous) && dropped.isEmpty()) {
+            return false;
+        }
+        forget(fingerprint);
+        cleared.remove(fingerprint);
+        cleared.values().removeIf(this::outdated);
+        if (cleared.size() >= MAX_CLEARED) {
+            cleared.remove(cleared.keySet().iterator().next());
+        }
+        cleared.put(fingerprint, new Cleared(dropped, timers.nanoTime()));
+        return true;
+    }
+
+    private boolean isCleared(final Fingerprint fingerprint, final CrashId crash) {
+        final Cleared known = cleared.get(fingerprint);
+        return known != null && !outdated(known) && known.crashes.contains(crash);
+    }
+
+    private boolean outdated(final Cleared known) {
+        return timers.nanoTime() - known.nanos >= CLEARED_RETENTION_NANOS;
+    }
+
     /**
      * Returns the requests of this VM that became poison, or crashed another target, since the last call.
      *
@@ -221,6 +260,9 @@
         POISON
     }
 
+    /** The crashes of one fingerprint that were dropped, and when. Immutable and thread-safe. */
+    private record Cleared(Set<CrashId> crashes, long nanos) {}
+
     /** The crashes of one fingerprint. Confined to the decision loop. */
     private static final class CrashRecord {
         private final Set<CrashId> crashes = new HashSet<>();
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FakeAttempt.java
@@ -3,10 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.id.Fingerprint;
 import org.balsambank.core.id.PromptPartId;
 import org.balsambank.core.id.TargetId;
 import org.balsambank.core.id.VmId;
 import org.balsambank.core.port.TargetNotice;
+import org.balsambank.core.serving.poison.LossFinding;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.OutgoingAttempt;
@@ -22,6 +25,7 @@
     final VmId from;
     final OutgoingAttempt outgoing;
     final List<PromptPartId> parts;
+    final Fingerprint fingerprint;
     boolean cancelled;
     boolean written = true;
     private boolean responded;
@@ -31,10 +35,12 @@
             final VmId from,
             final OutgoingAttempt outgoing,
             final List<PromptPartId> parts,
+            final Fingerprint fingerprint,
             final AttemptListener listener) {
         this.from = from;
         this.outgoing = outgoing;
         this.parts = parts;
+        this.fingerprint = fingerprint;
         this.listener = listener;
     }
 
@@ -122,6 +128,12 @@
         listener.chunk();
     }
 
+    /** Ends the attempt with a loss whose reason its connections show, at once or later. */
+    void endInDoubt(final AttemptEnd attemptEnd, final Single<LossFinding> finding) {
+        listener.lossInDoubt(finding);
+        listener.ended(attemptEnd);
+    }
+
     void end(final AttemptEnd attemptEnd) {
         listener.ended(attemptEnd);
     }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -180,6 +180,10 @@
         return announcement("p" + number, PLAIN, number, 1, draining);
     }
 
+    TargetAnnouncement plainTarget(final int number, final long startedMillis) {
+        return announcement("p" + number, PLAIN, number, startedMillis, false);
+    }
+
     private static TargetAnnouncement announcement(
             final String id,
             final ServiceName service,
@@ -262,7 +266,7 @@
                 fingerprint,
                 parts);
         caller.request = receiver.core.newRequest(attributes, caller, (outgoing, listener) -> {
-            final FakeAttempt attempt = new FakeAttempt(vm, outgoing, parts, listener);
+            final FakeAttempt attempt = new FakeAttempt(vm, outgoing, parts, fingerprint, listener);
             attempts.add(attempt);
             return attempt;
         });
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -286,6 +286,9 @@
         if (ended) {
             return;
         }
+        if (connection != null) {
+            listener.lossInDoubt(connection.checkLoss());
+        }
         finish(accepted ? AttemptEnd.BROKEN : AttemptEnd.LOST);
     }
 
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,7 +17,9 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.reactivex.rxjava3.core.Single;
 import org.balsambank.core.id.RequestId;
+import org.balsambank.core.serving.poison.LossFinding;
 import org.balsambank.gateway.loop.Channels;
 
 /**
@@ -39,6 +42,7 @@
     private boolean reusable = true;
     private boolean informational;
     private boolean responseStarted;
+    private boolean malformed;
     private long idleSinceNanos;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
@@ -124,6 +128,24 @@
         return channel;
     }
 
+    /**
+     * Returns whether the connection is open, as far as was read; one that is not being read may have ended.
+     *
+     * @return false once either end has closed it
+     */
+    boolean open() {
+        return channel != null && channel.isActive() && channel.config().isAutoRead() && !decoder.inputEnded();
+    }
+
+    /**
+     * Finds out whether the process of the target has ended, after the response on this connection was lost.
+     *
+     * @return finds it out when subscribed
+     */
+    Single<LossFinding> checkLoss() {
+        return malformed ? Single.just(LossFinding.MALFORMED) : pool.checkAfter(this);
+    }
+
     /** Reads what has arrived by now, or a part of it. */
     void readArrived() {
         Channels.readArrived(channel);
@@ -143,6 +165,7 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
+            malformed = !(message.decoderResult().cause() instanceof PrematureChannelClosureException);
             pool.faults().malformed(currentAttempt.id(), message.decoderResult().cause());
             connectionLost();
             return;
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -19,7 +19,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.reactivex.rxjava3.core.Single;
 import org.balsambank.core.id.RequestId;
+import org.balsambank.core.serving.poison.LossFinding;
 import org.balsambank.gateway.Dialect;
 import org.balsambank.gateway.loop.NextPoll;
 
@@ -140,19 +142,14 @@
         final StrictResponseDecoder decoder = new StrictResponseDecoder();
         final TargetConnection connection = new TargetConnection(this, decoder);
         connecting++;
-        final ChannelFuture connected = new Bootstrap()
-                .group(group)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        final ChannelFuture connected = connector()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(final SocketChannel opened) {
                         opened.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
                     }
                 })
-                .connect(host, port);
+                .connect();
         connected.addListener((ChannelFutureListener) done -> {
             connecting--;
             if (!done.isSuccess()) {
@@ -164,6 +161,28 @@
         });
     }
 
+    private Bootstrap connector() {
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .remoteAddress(host, port);
+    }
+
+    /**
+     * Finds out whether the process of the target has ended, after a connection was lost.
+     *
+     * @param lost the connection
+     * @return finds it out when subscribed
+     */
+    Single<LossFinding> checkAfter(final TargetConnection lost) {
+        return LossCheck.after(group.next(), this::connector, () -> all.stream()
+                .filter(each -> each != lost && each.open())
+                .toList());
+    }
+
     private void sendOnNew(final TargetConnection connection, final Channel open, final TargetAttempt attempt) {
         if (!open.isActive()) {
             attempt.notSent();
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/RecordingListener.java
@@ -3,10 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.serving.poison.LossFinding;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.balsambank.core.serving.request.AttemptListener;
 import org.balsambank.core.serving.request.ResponseHead;
@@ -17,6 +20,8 @@
     final List<AttemptEnd> ends = new ArrayList<>();
     final CountDownLatch chunkSeen = new CountDownLatch(1);
     final CountDownLatch hasEnded = new CountDownLatch(1);
+    final CompletableFuture<LossFinding> finding = new CompletableFuture<>();
+    boolean checksLosses;
     int status;
     boolean last;
     boolean writable = true;
@@ -55,6 +60,13 @@
         chunkSeen.countDown();
     }
 
+    @Override
+    public void lossInDoubt(final Single<LossFinding> inDoubt) {
+        if (checksLosses) {
+            inDoubt.subscribe(finding::complete);
+        }
+    }
+
     @Override
     public void ended(final AttemptEnd end) {
         ends.add(end);
