--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -131,8 +131,7 @@
         if (report.getBoot().equals(RESPONSE)) {
             return requests.recordResponseReport(fingerprint);
         }
-        requests.trialSent(fingerprint);
-        return true;
+        return requests.recordTrialReport(fingerprint);
     }
 
     /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestVerdicts.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestVerdicts.java
@@ -166,12 +166,17 @@
     }
 
     /**
-     * Returns a signal that a request need not be held any more.
+     * Holds a request, and returns a signal that it need not be held any more.
      *
-     * @param fingerprint the fingerprint of the request
+     * @param request the request
+     * @param fingerprint its fingerprint
      * @return completes on the decision loop, after the losses were decided
      */
-    public Completable released(final Fingerprint fingerprint) {
+    public Completable hold(final RequestId request, final Fingerprint fingerprint) {
+        verdictLine("request_held", fingerprint)
+                .with("request", request.value())
+                .with("undecided", undecided.get(fingerprint).size())
+                .write();
         return decisions
                 .filter(each -> each.equals(fingerprint) && !held(fingerprint))
                 .firstElement()
@@ -194,7 +199,7 @@
     }
 
     /**
-     * Records that a trial was sent by this VM or by another.
+     * Records that this VM has sent a trial.
      *
      * @param fingerprint the fingerprint of the request
      */
@@ -202,6 +207,16 @@
         trials.sent(fingerprint);
     }
 
+    /**
+     * Records that another VM has reported a trial.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return true if this was not known before
+     */
+    public boolean recordTrialReport(final Fingerprint fingerprint) {
+        return trials.sentElsewhere(fingerprint);
+    }
+
     /**
      * Records that a trial has not crashed its target, though its response was lost.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
@@ -68,7 +68,7 @@
     Optional<Completable> hold() {
         final Fingerprint fingerprint = attributes.fingerprint();
         return tracker.requests().held(fingerprint)
-                ? Optional.of(tracker.requests().released(fingerprint))
+                ? Optional.of(tracker.requests().hold(attributes.id(), fingerprint))
                 : Optional.empty();
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FaultyTargets.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FaultyTargets.java
@@ -73,6 +73,11 @@
         deadly.add(fingerprint);
     }
 
+    /** Lets targets respond to all requests from now on. */
+    void mend() {
+        deadly.clear();
+    }
+
     /** Lets time pass, at least one step. */
     void run(final long millis) {
         for (long end = nowMillis + millis; nowMillis < end; nowMillis += STEP_MILLIS) {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/LostResponseTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/LostResponseTest.java
@@ -90,9 +90,7 @@
         targets.crashOn(new Fingerprint("f/unsafe/" + DEADLY_TOKENS));
         targets.begin(FaultyTargets.Trouble.TRUNCATE);
         for (int kill = 0; kill < 4; kill++) {
-            for (long end = targets.nowMillis() + 12_000; targets.nowMillis() < end; targets.run(50)) {
-                send("/unsafe/", DEADLY_TOKENS);
-            }
+            sendDeadly(12_000);
             fleet.restartAll();
             targets.run(2 * STABLE_MILLIS);
         }
@@ -117,6 +115,68 @@
         assertEquals(0, refused());
     }
 
+    // Guards against a verdict that an operator can't lift, as the VMs save it again.
+    @Test
+    void verdictEndsOnAllVmsWhenItsKeyIsDeleted() {
+        start(7);
+        final Fingerprint deadly = new Fingerprint("f/unsafe/" + DEADLY_TOKENS);
+        targets.crashOn(deadly);
+        for (int i = 0; i < 5; i++) {
+            send("/unsafe/", DEADLY_TOKENS);
+            targets.run(300);
+        }
+        targets.mend();
+        targets.run(STABLE_MILLIS);
+        assertEquals(ErrorKind.POISON_REQUEST, send("/unsafe/", DEADLY_TOKENS).rejection());
+        fleet.removeEntry("crash/requests/" + deadly);
+        targets.run(STABLE_MILLIS);
+        for (int vm = 0; vm < vms; vm++) {
+            callers.add(sendTo(vm, "/unsafe/", DEADLY_TOKENS));
+        }
+        targets.run(STABLE_MILLIS);
+        assertEquals(0, refused());
+    }
+
+    // Guards against a verdict that lasts for a day, though the request crashes targets no longer.
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 72})
+    void requestThatNoLongerCrashesTargetsComesBackOnAllVms(final int vmCount) {
+        start(vmCount);
+        targets.crashOn(new Fingerprint("f/unsafe/" + DEADLY_TOKENS));
+        sendDeadly(3 * STABLE_MILLIS);
+        targets.mend();
+        sendDeadly(80_000);
+        callers.clear();
+        for (int vm = 0; vm < vms; vm++) {
+            callers.add(sendTo(vm, "/unsafe/", DEADLY_TOKENS));
+        }
+        targets.run(STABLE_MILLIS);
+        assertEquals(0, refused());
+    }
+
+    // Guards against a verdict that returns with all VMs, though it was over: the store still has it.
+    @Test
+    void verdictThatIsOverDoesNotComeBackAfterAllVmsWereKilled() {
+        start(7);
+        targets.crashOn(new Fingerprint("f/unsafe/" + DEADLY_TOKENS));
+        sendDeadly(3 * STABLE_MILLIS);
+        targets.mend();
+        sendDeadly(80_000);
+        fleet.restartAll();
+        targets.run(2 * STABLE_MILLIS);
+        for (int vm = 0; vm < vms; vm++) {
+            callers.add(sendTo(vm, "/unsafe/", DEADLY_TOKENS));
+        }
+        targets.run(STABLE_MILLIS);
+        assertEquals(0, refused());
+    }
+
+    private void sendDeadly(final long millis) {
+        for (long end = targets.nowMillis() + millis; targets.nowMillis() < end; targets.run(50)) {
+            send("/unsafe/", DEADLY_TOKENS);
+        }
+    }
+
     private void start(final int vmCount) {
         vms = vmCount;
         fleet = new TestFleet(vms, 0);
