Let one VM of the fleet try a refused request, whenever it comes

What callers would have seen: targets that crash on a request which is refused.

Cause: VMs were told apart by a delay, 0.7 s for each VM that comes before. After a pause all delays are over, and the reports are too late.

Change: a VM that gets a request whose trial is due claims the trial and tells the others; the request waits for 1.2 s. The claim of the VM that comes first by rendezvous hashing wins. A claim that no request uses within 5 s ends.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -19,12 +19,13 @@
  * Tracks requests whose targets crashed while running them, including those reported by other VMs.
  *
  * <p>It stops a request that crashes every target that starts to run it and that callers retry at any VM, and tells the
- * other VMs of its crashes, trials and responses. A report without a target is of a trial or a response. Confined to
- * the decision loop.
+ * other VMs of its crashes, trials and responses. A report without a target is of a trial, the claim of
+ * one or a response. Confined to the decision loop.
  */
 public final class TargetCrashTracker {
     private static final String TRIAL = "trial";
     private static final String RESPONSE = "response";
+    private static final String CLAIM = "claim:";
 
     private final RequestVerdicts requests;
     private final List<BrokenRuns> unreported = new ArrayList<>();
@@ -93,6 +94,20 @@
         unreported.add(report(fingerprint, "", TRIAL));
     }
 
+    /**
+     * Decides whether a refused request may run as a trial.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return whether it may
+     */
+    public RequestVerdicts.TrialTurn trialTurn(final Fingerprint fingerprint) {
+        final RequestVerdicts.TrialTurn turn = requests.trialTurn(fingerprint);
+        if (turn == RequestVerdicts.TrialTurn.CLAIMED) {
+            unreported.add(report(fingerprint, "", CLAIM + requests.rank(fingerprint)));
+        }
+        return turn;
+    }
+
     private static BrokenRuns crashReport(final Fingerprint fingerprint, final CrashId crash) {
         return report(fingerprint, crash.target().value(), crash.boot().value());
     }
@@ -118,7 +133,7 @@
     /**
      * Records what another VM has reported.
      *
-     * @param report the report of a crash, a trial or a response
+     * @param report the report of a crash, a trial, a claim or a response
      * @param recent whether it has just happened
      * @return true if other VMs may not know it
      */
@@ -131,6 +146,10 @@
         if (report.getBoot().equals(RESPONSE)) {
             return requests.recordResponseReport(fingerprint);
         }
+        if (report.getBoot().startsWith(CLAIM)) {
+            return requests.recordClaimReport(
+                    fingerprint, Integer.parseInt(report.getBoot().substring(CLAIM.length())));
+        }
         return requests.recordTrialReport(fingerprint);
     }
 
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestTrials.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestTrials.java
@@ -10,22 +10,29 @@
 import org.balsambank.core.time.TimerService;
 
 /**
- * Decides when a refused request may run once more, so that a wrong verdict ends.
+ * Decides when and at which VM a refused request may run once more, so that a wrong verdict ends.
  *
- * <p>The VMs try in turn, as each hears of the trials of the others. A trial that crashes its target, or whose outcome
- * stays unknown, defers the next one; after {@value #MAX_CRASHES} that crashed their targets the verdict stands until
- * its evidence expires. What was learned from the store or from a full report has an unknown past and counts as one.
+ * <p>A VM that gets a request whose trial is due claims the trial and tells the others. The claim of the VM that comes
+ * first for the request wins; it may be used after {@link #CLAIM_WAIT}. A trial that crashes its target, or whose
+ * outcome stays unknown, defers the next one; after {@value #MAX_CRASHES} that crashed their targets the verdict stands
+ * until its evidence expires. What was learned from the store or from a full report has an unknown past and counts as
+ * one of them.
  *
  * <p>Invariant: at most {@value #MAX_REQUESTS} requests are tracked, those that crashed targets or were tried last.
  * Confined to the decision loop.
  */
 final class RequestTrials {
+    /** More than the claims of all VMs take to reach each other. */
+    static final Duration CLAIM_WAIT = Duration.ofMillis(1_200);
+
     private static final int MAX_REQUESTS = 10_000;
     private static final int MAX_CRASHES = 3;
     private static final List<Duration> DELAYS =
             List.of(Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMinutes(10));
-    /** More than a report takes to reach all VMs. */
-    private static final Duration DELAY_PER_RANK = Duration.ofMillis(700);
+    /** How long the VM that has claimed a trial may wait for a request. */
+    private static final Duration CLAIM_USABLE = Duration.ofSeconds(5);
+    /** How long the other VMs respect a claim: longer than it can be used. */
+    private static final Duration CLAIM_RESPECTED = Duration.ofSeconds(7);
     /** Less than lies between two trials; more than a report takes to come again on another way. */
     private static final Duration REPEATED_REPORT = Duration.ofSeconds(1);
     /** Crashes at shorter intervals are those of requests that were under way at the same time. */
@@ -55,7 +62,7 @@
             put(fingerprint, 0);
             return;
         }
-        if (state.running || sinceLast(state).compareTo(SAME_TIME) >= 0) {
+        if (state.running || since(state.lastNanos).compareTo(SAME_TIME) >= 0) {
             state.crashes++;
         }
         state.running = false;
@@ -63,25 +70,66 @@
     }
 
     /**
-     * Returns whether a trial is due.
+     * Claims the next trial for this VM.
+     *
+     * @param fingerprint the request
+     * @param rank the number of VMs that come before this one for the request
+     * @return true if a trial is due and nobody has claimed it; the other VMs must be told
+     */
+    boolean claim(final Fingerprint fingerprint, final int rank) {
+        if (!due(fingerprint) || states.get(fingerprint).claim != null) {
+            return false;
+        }
+        states.get(fingerprint).claim = new Claim(rank, true, timer.nanoTime());
+        return true;
+    }
+
+    /**
+     * Records that another VM has claimed the next trial.
      *
      * @param fingerprint the request
-     * @param rank the number of VMs whose turn comes before that of this VM
-     * @return true if the request may run once
+     * @param rank the number of VMs that come before that one for the request
+     * @return false if this is only repeated, or loses to another claim
      */
-    boolean due(final Fingerprint fingerprint, final int rank) {
+    boolean claimedElsewhere(final Fingerprint fingerprint, final int rank) {
+        final State state = known(fingerprint) ? states.get(fingerprint) : put(fingerprint, 1);
+        dropOldClaim(state);
+        if (state.claim != null && state.claim.rank <= rank) {
+            return false;
+        }
+        state.claim = new Claim(rank, false, timer.nanoTime());
+        return true;
+    }
+
+    /** Returns whether the claim of this VM has won, so that a request may be sent. */
+    boolean won(final Fingerprint fingerprint) {
+        if (!due(fingerprint)) {
+            return false;
+        }
+        final Claim claim = states.get(fingerprint).claim;
+        return claim != null && claim.own && since(claim.nanos).compareTo(CLAIM_WAIT) >= 0;
+    }
+
+    private boolean due(final Fingerprint fingerprint) {
         final State state = states.get(fingerprint);
         if (state == null) {
             put(fingerprint, 1);
             return false;
         }
+        dropOldClaim(state);
         final int failures = state.crashes + state.unknown + (state.running ? 1 : 0);
         final Duration delay = DELAYS.get(Math.min(failures, DELAYS.size() - 1));
-        return state.crashes < MAX_CRASHES
-                && sinceLast(state).compareTo(delay.plus(DELAY_PER_RANK.multipliedBy(rank))) >= 0;
+        return state.crashes < MAX_CRASHES && since(state.lastNanos).compareTo(delay) >= 0;
+    }
+
+    private void dropOldClaim(final State state) {
+        if (state.claim != null
+                && since(state.claim.nanos).compareTo(state.claim.own ? CLAIM_USABLE : CLAIM_RESPECTED) >= 0) {
+            state.claim = null;
+        }
     }
 
-    /** Records that this VM reserves a trial for a request that it is about to send. */
+    /** Records that this VM uses its claim for a request that it is about to send. */
     void reserved(final Fingerprint fingerprint) {
         settle(fingerprint);
     }
@@ -99,7 +147,7 @@
      */
     boolean sentElsewhere(final Fingerprint fingerprint) {
         final State state = states.get(fingerprint);
-        if (state != null && sinceLast(state).compareTo(REPEATED_REPORT) < 0) {
+        if (state != null && since(state.lastNanos).compareTo(REPEATED_REPORT) < 0) {
             return false;
         }
         sent(fingerprint);
@@ -125,6 +173,7 @@
             state.unknown++;
             state.running = false;
         }
+        state.claim = null;
         state.lastNanos = timer.nanoTime();
         return state;
     }
@@ -138,10 +187,13 @@
         return state;
     }
 
-    private Duration sinceLast(final State state) {
-        return Duration.ofNanos(timer.nanoTime() - state.lastNanos);
+    private Duration since(final long nanos) {
+        return Duration.ofNanos(timer.nanoTime() - nanos);
     }
 
+    /** A claim of the next trial. Immutable and thread-safe. */
+    private record Claim(int rank, boolean own, long nanos) {}
+
     /** The past of one request. Confined to the decision loop. */
     private static final class State {
         /** The trials that crashed their targets. */
@@ -151,6 +203,7 @@
 
         private long lastNanos;
         private boolean running;
+        private Claim claim;
 
         private State(final int crashes, final long lastNanos) {
             this.crashes = crashes;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestVerdicts.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/poison/RequestVerdicts.java
@@ -44,7 +44,7 @@
      * Creates an instance without evidence.
      *
      * @param timer the timer service
-     * @param rank returns how many VMs may try a request before this one
+     * @param rank returns how many VMs come before this one for a request
      * @param log the decision log; gets a line for each crash that is believed or taken back, and for each verdict that
      *     begins, is tried or ends
      */
@@ -184,18 +184,48 @@
     }
 
     /**
-     * Grants a trial of a refused request.
+     * Decides whether a refused request may run as a trial.
      *
      * @param fingerprint the fingerprint of the request
-     * @return true if one request may be sent all the same
+     * @return whether it may; with {@link TrialTurn#CLAIMED} the other VMs must be told the {@link #rank}
      */
-    public boolean grantTrial(final Fingerprint fingerprint) {
-        if (!trials.due(fingerprint, rank.applyAsInt(fingerprint))) {
-            return false;
+    public TrialTurn trialTurn(final Fingerprint fingerprint) {
+        if (trials.won(fingerprint)) {
+            trials.reserved(fingerprint);
+            verdictLine("request_trial", fingerprint).write();
+            return TrialTurn.GRANTED;
         }
-        trials.reserved(fingerprint);
-        verdictLine("request_trial", fingerprint).write();
-        return true;
+        return trials.claim(fingerprint, rank(fingerprint)) ? TrialTurn.CLAIMED : TrialTurn.NONE;
+    }
+
+    /**
+     * Returns how many VMs come before this one for a request.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return 0 on the VM whose claims of trials always win
+     */
+    public int rank(final Fingerprint fingerprint) {
+        return rank.applyAsInt(fingerprint);
+    }
+
+    /**
+     * Returns a signal that a claim of a trial is decided.
+     *
+     * @return completes on the decision loop, after the claims of all VMs have reached each other
+     */
+    public Completable claimDecided() {
+        return timer.after(RequestTrials.CLAIM_WAIT);
+    }
+
+    /**
+     * Records that another VM has claimed a trial.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @param otherRank the rank of that VM
+     * @return true if the claim was not known and wins so far
+     */
+    public boolean recordClaimReport(final Fingerprint fingerprint, final int otherRank) {
+        return trials.claimedElsewhere(fingerprint, otherRank);
     }
 
     /**
@@ -258,6 +288,16 @@
         return log.line(event).with("fingerprint", fingerprint.value());
     }
 
+    /** Whether a refused request may run as a trial. Immutable and thread-safe. */
+    public enum TrialTurn {
+        /** It may not. */
+        NONE,
+        /** It may if the claim of this VM wins. */
+        CLAIMED,
+        /** It may. */
+        GRANTED
+    }
+
     /** A loss that is not decided yet. Immutable and thread-safe. */
     public static final class Loss {
         private final RequestId request;
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/request/CrashGuard.java
@@ -27,6 +27,7 @@
     private final RequestAttributes attributes;
     private boolean partTrial;
     private boolean requestTrial;
+    private boolean claiming;
 
     /**
      * Creates the guard of a request.
@@ -46,9 +47,11 @@
      */
     Optional<Refusal> refusal() {
         final Fingerprint fingerprint = attributes.fingerprint();
-        if (tracker.requests().refused(fingerprint)) {
-            requestTrial = requestTrial || tracker.requests().grantTrial(fingerprint);
-            if (!requestTrial) {
+        if (!claiming && !requestTrial && tracker.requests().refused(fingerprint)) {
+            final RequestVerdicts.TrialTurn turn = tracker.trialTurn(fingerprint);
+            claiming = turn == RequestVerdicts.TrialTurn.CLAIMED;
+            requestTrial = turn == RequestVerdicts.TrialTurn.GRANTED;
+            if (turn == RequestVerdicts.TrialTurn.NONE) {
                 return Optional.of(new Refusal(
                         ErrorKind.POISON_REQUEST, "the same request has crashed several targets: " + fingerprint));
             }
@@ -61,11 +64,15 @@
     }
 
     /**
-     * Returns a signal that the request may go on, if it must wait for the decision on losses of the same request.
+     * Returns a signal that the request may go on, if it must wait for the decision on losses of the same request, or
+     * for the decision which VM tries it.
      *
      * @return the signal, empty if the request need not wait
      */
     Optional<Completable> hold() {
+        if (claiming) {
+            return Optional.of(tracker.requests().claimDecided().doOnComplete(() -> claiming = false));
+        }
         final Fingerprint fingerprint = attributes.fingerprint();
         return tracker.requests().held(fingerprint)
                 ? Optional.of(tracker.requests().hold(attributes.id(), fingerprint))
