Wait in a test until the broken link between two VMs is seen to be broken

responseThatWasCutByAReconnectDoesNotAnswerTheCallWithTheSameId failed once (length 29 of 29, in the whole tests of the module beside load): no second link was opened within 20 s.

Cause: the test. With every shorter length the first call ends only when the link has closed; with the whole response it ends before, and the second call could still go on the closing link, where it is rightly lost. A trial that starts the second call before the close shows the same: no second link is opened.

Change: a further call that is never answered is under way when the link breaks, and the test waits for its end at each length. No check is taken back; one is added: that call gets no values and isn't complete.

--- a/balsambank-peer/src/test/java/org/balsambank/peer/CutFrameTest.java
+++ b/balsambank-peer/src/test/java/org/balsambank/peer/CutFrameTest.java
@@ -64,11 +64,16 @@
     @MethodSource("lengths")
     void responseThatWasCutByAReconnectDoesNotAnswerTheCallWithTheSameId(final int length) throws Exception {
         final TestSubscriber<RelayChunk> first = call();
+        final TestSubscriber<RelayChunk> unanswered;
         try (Socket link = accept()) {
             assertEquals(1, readCall(link));
+            unanswered = call();
+            assertEquals(2, readCall(link));
             link.getOutputStream().write(COPY, 0, length);
         }
         assertTrue(first.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
+        assertTrue(unanswered.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS));
+        unanswered.assertNoValues().assertNotComplete();
         assertEquals(length == COPY.length, isComplete(first));
         final TestSubscriber<RelayChunk> second = call();
         try (Socket link = accept()) {
