--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/StrictResponseDecoder.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import org.balsambank.core.port.JoinedHead;
 
 /**
  * Decodes the responses of one connection, including those that have no body because of their request method.
@@ -84,11 +86,23 @@
     }
 
     private static void checkHead(final Object decoded) {
-        if (decoded instanceof HttpResponse head && JoinedHead.matches(head)) {
+        if (decoded instanceof HttpResponse head && holdsAnotherResponse(head)) {
             head.setDecoderResult(DecoderResult.failure(new DecoderException("a part of another response")));
         }
     }
 
+    /**
+     * Returns whether a head was put together from a part of one response and the beginning of another.
+     *
+     * @param head the head
+     * @return true if another status line stands in it after its own, or its version is none that targets speak
+     */
+    static boolean holdsAnotherResponse(final HttpResponse head) {
+        final HttpVersion version = head.protocolVersion();
+        final boolean known = version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
+        return !known || JoinedHead.matches(head.status().reasonPhrase(), head.headers());
+    }
+
     @Override
     public void userEventTriggered(final ChannelHandlerContext context, final Object event) throws Exception {
         inputEnded |= event instanceof ChannelInputShutdownEvent;
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedHeadTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/StrictResponseDecoderTest.java
@@ -11,26 +11,26 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Tests {@link JoinedHead}. */
-final class JoinedHeadTest {
+/** Tests {@link StrictResponseDecoder}. */
+final class StrictResponseDecoderTest {
     @ParameterizedTest
     @ValueSource(strings = {"abHTTP/1.1 500 Internal Server Error", "HTTP/1.0 503", "x HTTP/1.1 421 "})
     void statusLineInAValueIsAPartOfAnotherResponse(final String value) {
-        assertTrue(JoinedHead.matches(head("OK", "Via", value)));
-        assertTrue(JoinedHead.matches(head(value, "Via", "1.1 a")));
+        assertTrue(StrictResponseDecoder.holdsAnotherResponse(head("OK", "Via", value)));
+        assertTrue(StrictResponseDecoder.holdsAnotherResponse(head(value, "Via", "1.1 a")));
     }
 
     // Guards against sound responses that are lost since a header names the protocol.
     @ParameterizedTest
     @ValueSource(strings = {"1.1 a", "HTTP/1.1 proxy", "HTTP/1.1 200.1.2.3:80", "HTTP/1.1", "1.1 a, HTTP/1.1 2009 b"})
     void protocolInAValueIsNoOtherResponse(final String value) {
-        assertFalse(JoinedHead.matches(head("OK", "Via", value)));
+        assertFalse(StrictResponseDecoder.holdsAnotherResponse(head("OK", "Via", value)));
     }
 
     @Test
     void versionThatTargetsDoNotSpeakIsAPartOfAnotherResponse() {
         final HttpVersion joined = new HttpVersion("HTTHTTP", 1, 1, true);
-        assertTrue(JoinedHead.matches(new DefaultHttpResponse(joined, HttpResponseStatus.OK)));
+        assertTrue(StrictResponseDecoder.holdsAnotherResponse(new DefaultHttpResponse(joined, HttpResponseStatus.OK)));
     }
 
     private static HttpResponse head(final String reason, final String name, final String value) {
