--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetQuotaTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetQuotaTest.java
@@ -13,11 +13,15 @@
 import org.balsambank.core.id.VmId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Tests that a team gets its rate from a fleet of 72 VMs that fail or restart, in virtual time. Confined to one thread.
+ * Tests that a team gets its rate, and no more, from a fleet of VMs that fail or restart, in virtual time. Confined to
+ * one thread.
  */
 final class FleetQuotaTest {
     private static final int VMS = 72;
@@ -25,16 +29,22 @@
     private static final int PLAIN_TARGETS = 40;
     private static final double RATE = 461_742;
     private static final double OVERLOAD = 7;
+    private static final double WELL_BELOW_RATE = 0.6;
+    private static final int STOPPED_PART = 18;
     private static final int UNITS = 4_000;
     private static final int WINDOW_MILLIS = 8_000;
     private static final int TICK_MILLIS = 10;
     private static final double ALLOWED = (RATE * WINDOW_MILLIS / 1_000 + RATE) * 1.1 + 17_000;
 
-    private final TestFleet fleet = new TestFleet(VMS, DOMAINS, 1);
     private final Random random = new Random(1);
     private final List<Long> admissionMillis = new ArrayList<>();
+    private final List<Long> refusalMillis = new ArrayList<>();
+    private TestFleet fleet;
+    private int vmCount;
 
-    FleetQuotaTest() {
+    private void startFleet(final int vms) {
+        vmCount = vms;
+        fleet = new TestFleet(vms, DOMAINS, 1);
         for (int i = 0; i < PLAIN_TARGETS; i++) {
             fleet.announce(fleet.plainTarget(i, false));
         }
@@ -45,7 +55,72 @@
     @Test
     @Tag("known-red")
     void teamStaysWithinItsRateWhileVmsStopAndStartInTurn() {
-        final int perRound = 4;
+        startFleet(VMS);
+        stopAndStartVms(RATE / 2, RATE * OVERLOAD);
+        assertWithinRate();
+    }
+
+    // Guards against QUOTA: the same in a small and in a larger fleet.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 95})
+    @Tag("known-red")
+    void teamStaysWithinItsRateWhileVmsStopAndStartInTurn(final int vms) {
+        startFleet(vms);
+        stopAndStartVms(RATE / 2, RATE * OVERLOAD);
+        assertWithinRate();
+    }
+
+    // Guards against QUOTA: a busy fleet (messages take up to 250 ms) admits more when a team suddenly sends much.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 72, 95})
+    @Tag("known-red")
+    void teamStaysWithinItsRateWhenItSuddenlySendsMuch(final int vms) {
+        startFleet(vms);
+        fleet.network.delay(Duration.ofMillis(5), Duration.ofMillis(250));
+        send(10_000, RATE / 2);
+        send(15_000, RATE * OVERLOAD);
+        assertWithinRate();
+    }
+
+    // Guards against QUOTA: a team that sends many times its rate gets more while 35 in 100 VMs are cut off.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 72, 95})
+    void teamStaysWithinItsRateWhileManyVmsAreCutOff(final int vms) {
+        startFleet(vms);
+        cutVmsOff(RATE / 2, RATE * OVERLOAD);
+        assertWithinRate();
+    }
+
+    // Guards against refusals below the rate: units that were reported late or twice, after VMs were cut off.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 72})
+    void teamWellBelowItsRateIsNotRefusedWhileManyVmsAreCutOff(final int vms) {
+        startFleet(vms);
+        cutVmsOff(RATE * WELL_BELOW_RATE, RATE * WELL_BELOW_RATE);
+        assertEquals(List.of(), refusalMillis);
+    }
+
+    // Guards against refusals below the rate: the same in a larger fleet.
+    @Test
+    @Tag("known-red")
+    void teamWellBelowItsRateIsNotRefusedWhileManyOf95VmsAreCutOff() {
+        startFleet(95);
+        cutVmsOff(RATE * WELL_BELOW_RATE, RATE * WELL_BELOW_RATE);
+        assertEquals(List.of(), refusalMillis);
+    }
+
+    // Guards against refusals below the rate: units that were reported late or twice, while VMs stop and start.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 72, 95})
+    @Tag("known-red")
+    void teamWellBelowItsRateIsNotRefusedWhileVmsStopAndStartInTurn(final int vms) {
+        startFleet(vms);
+        stopAndStartVms(RATE * WELL_BELOW_RATE, RATE * WELL_BELOW_RATE);
+        assertEquals(List.of(), refusalMillis);
+    }
+
+    private void stopAndStartVms(final double early, final double late) {
+        final int perRound = Math.max(1, vmCount / STOPPED_PART);
         fleet.network.delay(Duration.ofMillis(5), Duration.ofMillis(250));
         send(3_000, RATE / 2);
         final Deque<VmId> stopped = new ArrayDeque<>();
@@ -54,39 +129,34 @@
                 restart(stopped.remove());
             }
             for (int i = 0; i < perRound; i++) {
-                final VmId vm = TestFleet.vm((round * perRound + i) % VMS);
+                final VmId vm = TestFleet.vm((round * perRound + i) % vmCount);
                 fleet.vms.get(vm).core.handOver().subscribe();
                 stopped.add(vm);
             }
-            send(700, round < 5 ? RATE / 2 : RATE * OVERLOAD);
+            send(700, round < 5 ? early : late);
             stopped.forEach(fleet::kill);
-            send(700, round < 5 ? RATE / 2 : RATE * OVERLOAD);
+            send(700, round < 5 ? early : late);
         }
-        assertWithinRate();
     }
 
-    // Guards against QUOTA: a team that sends many times its rate gets more while 35 in 100 VMs are cut off.
-    @Test
-    @Tag("known-red")
-    void teamStaysWithinItsRateWhileManyVmsAreCutOff() {
-        send(3_000, RATE / 2);
+    private void cutVmsOff(final double early, final double late) {
+        send(3_000, early);
         cut(true);
-        send(2_000, RATE / 2);
-        send(10_000, RATE * OVERLOAD);
+        send(2_000, early);
+        send(10_000, late);
         cut(false);
-        send(6_000, RATE * OVERLOAD);
-        assertWithinRate();
+        send(6_000, late);
     }
 
     private void cut(final boolean value) {
-        for (int a = 0; a < VMS; a++) {
-            for (int b = a + 1; b < VMS; b++) {
+        for (int a = 0; a < vmCount; a++) {
+            for (int b = a + 1; b < vmCount; b++) {
                 if (isCutOff(a) != isCutOff(b)) {
                     fleet.network.cut(TestFleet.vm(a), TestFleet.vm(b), value);
                 }
             }
         }
-        for (int a = 0; a < VMS; a++) {
+        for (int a = 0; a < vmCount; a++) {
             if (isCutOff(a)) {
                 fleet.store.cutOff(TestFleet.vm(a), value);
             }
@@ -123,6 +193,8 @@
         if (fleet.attempts.size() > before) {
             fleet.lastAttempt().respond(200, false);
             admissionMillis.add(fleet.clock.now(TimeUnit.MILLISECONDS));
+        } else {
+            refusalMillis.add(fleet.clock.now(TimeUnit.MILLISECONDS));
         }
     }
 
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetScaleTest.java
@@ -112,6 +112,25 @@
         }
     }
 
+    // Guards against CONFIG: a VM that reaches neither the key-value service nor most VMs goes round among these.
+    @Test
+    void vmRejectsAWithdrawnKeyInTimeWhenItReachesFewVmsAndNotTheKeyValueService() {
+        for (int round = 0; round < 12; round++) {
+            final TestFleet fleet = new TestFleet(72, 4, TARGETS);
+            final VmId cutOff = TestFleet.vm(6 * round + 1);
+            fleet.store.cutOff(cutOff, true);
+            for (int i = 0; i < 72; i++) {
+                if (i * 37 % 100 < 65 && i != 6 * round + 1) {
+                    fleet.network.cut(cutOff, TestFleet.vm(i), true);
+                }
+            }
+            fleet.advance(137L * round);
+            fleet.writePlan(2, List.of("another-key"), 1_000_000);
+            fleet.advance(2_950);
+            assertEquals(ErrorKind.UNAUTHENTICATED, requestWithKey(fleet, cutOff), cutOff + " round " + round);
+        }
+    }
+
     /** A VM is suspended for more than a second between the arrival of its parent's response and reading it. */
     @Test
     void responseThatWaitedDuringASuspensionIsNotTakenAsFresh() {
