Estimate what is not reported yet by the age of the view

What was seen: FleetQuotaTest, 72 VMs, messages of up to 250 ms.

Trace of the run without a stop (overload from 18.0 s; all VMs hear of all; mean level of the VMs):

second admitted since the line before level 18.2 192k 356k 18.4 612k 439k 18.6 548k 393k 18.8 468k 298k 19.0 360k 112k 19.2 284k -104k 19.4 156k -252k 20.0 20k -960k

Cause: reports pass four edges and need 1 s then; the estimate of what is not reported knows of 150 ms, and of one request that is free. All VMs spend the whole bucket for a second, and again when it is refilled.

Change: the estimate is for the age of the view (time since the parent answered, three round trips, 50 ms).

The test of the stops at 72 VMs failed before and is no longer listed. What is still red stands in KNOWN-RED.txt.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/DigestExchange.java
@@ -58,6 +58,11 @@
     private static final long IDLE_CALL_INTERVAL_NANOS = Duration.ofMillis(125).toNanos();
     private static final long EDGE_TIMEOUT_NANOS = Duration.ofMillis(900).toNanos();
     private static final long SKIP_NANOS = Duration.ofMillis(1_000).toNanos();
+    private static final double ROUND_TRIP_WEIGHT = 0.2;
+    /** A report passes up to four edges; one of these round trips is part of the time between two responses. */
+    private static final int ROUND_TRIPS_OF_VIEW = 3;
+
+    private static final int ROUND_TRIPS_OF_ROOT_VIEW = 2;
     private static final Duration TIMEOUT = Duration.ofMillis(600);
     private static final Duration CANDIDATE_TIMEOUT = Duration.ofMillis(450);
     private static final long CANDIDATE_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
@@ -85,6 +90,7 @@
     private boolean idle;
     private long lastCallNanos;
     private long lastCandidateNanos;
+    private double roundTripNanos;
 
     /**
      * Creates the exchange and serves the digests of other VMs.
@@ -130,6 +136,7 @@
         this.reader = Objects.requireNonNull(reader);
         this.timer = Objects.requireNonNull(timer);
         this.random = Objects.requireNonNull(random);
+        members.setViewDelay(this::viewDelay);
         peers.serve(FleetMethods.DIGEST, (from, digest) -> Flowable.fromCallable(() -> serve(from, digest)));
     }
 
@@ -147,6 +154,16 @@
                 .repeat();
     }
 
+    private Duration viewDelay() {
+        final double nanos = parent.map(edges::get)
+                .map(edge -> timer.nanoTime()
+                        - edge.receivedNanos()
+                        + DOMAIN_HEAD_CALL_INTERVAL_NANOS
+                        + ROUND_TRIPS_OF_VIEW * roundTripNanos)
+                .orElse(ROUND_TRIPS_OF_ROOT_VIEW * roundTripNanos);
+        return Duration.ofNanos((long) nanos);
+    }
+
     private void step() {
         dropSilentEdges();
         recordLocalChanges();
@@ -301,6 +318,7 @@
                         response -> {
                             called = called.filter(each -> each != edge);
                             skippedSince.remove(edge.other());
+                            roundTripNanos += ROUND_TRIP_WEIGHT * (timer.nanoTime() - lastCallNanos - roundTripNanos);
                             receive(edge, response);
                             idle = unchanged && isEmpty(response);
                         },
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/FleetQuotaTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/FleetQuotaTest.java
@@ -53,7 +53,6 @@
 
     // Guards against QUOTA: a busy fleet (messages take up to 250 ms) admits more while VMs stop and start in turn.
     @Test
-    @Tag("known-red")
     void teamStaysWithinItsRateWhileVmsStopAndStartInTurn() {
         startFleet(VMS);
         stopAndStartVms(RATE / 2, RATE * OVERLOAD);
@@ -72,9 +71,19 @@
 
     // Guards against QUOTA: a busy fleet (messages take up to 250 ms) admits more when a team suddenly sends much.
     @ParameterizedTest
-    @ValueSource(ints = {7, 72, 95})
-    @Tag("known-red")
+    @ValueSource(ints = {7, 72})
     void teamStaysWithinItsRateWhenItSuddenlySendsMuch(final int vms) {
+        sendMuchSuddenly(vms);
+    }
+
+    // Guards against QUOTA: the same in a larger fleet.
+    @Test
+    @Tag("known-red")
+    void teamStaysWithinItsRateWhenItSuddenlySendsMuchTo95Vms() {
+        sendMuchSuddenly(95);
+    }
+
+    private void sendMuchSuddenly(final int vms) {
         startFleet(vms);
         fleet.network.delay(Duration.ofMillis(5), Duration.ofMillis(250));
         send(10_000, RATE / 2);
@@ -111,14 +120,22 @@
 
     // Guards against refusals below the rate: units that were reported late or twice, while VMs stop and start.
     @ParameterizedTest
-    @ValueSource(ints = {7, 72, 95})
-    @Tag("known-red")
+    @ValueSource(ints = {7, 95})
     void teamWellBelowItsRateIsNotRefusedWhileVmsStopAndStartInTurn(final int vms) {
         startFleet(vms);
         stopAndStartVms(RATE * WELL_BELOW_RATE, RATE * WELL_BELOW_RATE);
         assertEquals(List.of(), refusalMillis);
     }
 
+    // Guards against refusals below the rate: the same in a fleet of 72 VMs.
+    @Test
+    @Tag("known-red")
+    void teamWellBelowItsRateIsNotRefusedWhileSomeOf72VmsStopAndStartInTurn() {
+        startFleet(VMS);
+        stopAndStartVms(RATE * WELL_BELOW_RATE, RATE * WELL_BELOW_RATE);
+        assertEquals(List.of(), refusalMillis);
+    }
+
     private void stopAndStartVms(final double early, final double late) {
         final int perRound = Math.max(1, vmCount / STOPPED_PART);
         fleet.network.delay(Duration.ofMillis(5), Duration.ofMillis(250));
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/admission/AdmissionTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/admission/AdmissionTest.java
@@ -153,6 +153,11 @@
                 return reachable;
             }
 
+            @Override
+            public Duration viewDelay() {
+                return Duration.ZERO;
+            }
+
             @Override
             public int rank(final TargetId target) {
                 return 0;
