Read each line of a body once in search of a copy

What would be seen: a body full of status lines holds up all requests of a VM while it is read. A body that mentions a version, such as "HTTP/1.1 is old", hides the copy that fills up its end: a success with a wrong body (MIXED). The same mention breaks a sound response off if a part of a copy is behind it.

Cause: CopyScanner read every line again for each "HTTP/1." before it and for each part of the body. It stopped at the first "HTTP/1.", no matter whether a status line began there, until the head behind it had an end.

Four new cases of CopyScannerTest and one of JoinedResponseTest, with real sockets, fail on the code before and pass now; the tests of copies, parts of copies and resets pass as before.

Change: the lines are read in order, each once, against the last status line before it. Only what may become a status line is kept.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
@@ -15,19 +15,23 @@
  * then ends with bytes of that other one. What gives it away is a status line in the body, followed by headers of which
  * one holds the id of a request that the connection has carried. A body that only quotes a response holds no such id.
  *
- * <p>Invariant: holds at most {@value #MAX_HEAD_CHARS} characters beyond what is appended at a time. Confined to the
- * decision loop.
+ * <p>Invariants: holds at most {@value #MAX_HEAD_CHARS} characters beyond what is appended at a time; reads each line
+ * once, against the last status line before it. Confined to the decision loop.
  */
 final class CopyScanner {
     private static final String VERSION_PREFIX = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}[^\r\n]*\r\n");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
     private static final String LINE_END = "\r\n";
-    private static final String HEAD_END = "\r\n\r\n";
     private static final int MAX_HEAD_CHARS = 8_192;
+    private static final int NONE = -1;
 
     private final Predicate<String> carriedId;
     /** What may be the beginning of another response, up to the last byte of the body so far. */
     private final StringBuilder pending = new StringBuilder();
+    /** Where the last status line begins whose headers are being read, or {@link #NONE}. */
+    private int headStart = NONE;
+    /** Where the first line begins that has not been read to its end. */
+    private int lineStart;
 
     /**
      * Creates a scanner for a body of which nothing has arrived.
@@ -41,6 +45,8 @@
     /** Begins with another body. */
     void reset() {
         pending.setLength(0);
+        headStart = NONE;
+        lineStart = 0;
     }
 
     /**
@@ -82,50 +88,66 @@
         return !pending.isEmpty();
     }
 
+    /**
+     * Reads on where the last search ended.
+     *
+     * @param limit where the body ends; another response must begin before
+     * @return whether another response begins there
+     */
     private boolean search(final int limit) {
-        int start = pending.indexOf(VERSION_PREFIX);
-        while (start >= 0 && start < limit) {
-            final int headEnd = pending.indexOf(HEAD_END, start);
-            final int end = headEnd < 0 ? pending.length() : headEnd + LINE_END.length();
-            if (namesCarriedRequest(start, end)) {
+        int lineEnd = pending.indexOf(LINE_END, lineStart);
+        while (lineEnd >= 0) {
+            if (readLine(pending.substring(lineStart, lineEnd), limit)) {
                 return true;
             }
-            if (headEnd < 0 && pending.length() - start < MAX_HEAD_CHARS) {
-                pending.delete(0, start);
-                return false;
-            }
-            start = pending.indexOf(VERSION_PREFIX, start + 1);
+            lineStart = lineEnd + LINE_END.length();
+            lineEnd = pending.indexOf(LINE_END, lineStart);
         }
-        keepUnfinishedPrefix();
+        keepHeadOrItsBeginning(limit);
         return false;
     }
 
-    private void keepUnfinishedPrefix() {
-        int kept = Math.min(VERSION_PREFIX.length() - 1, pending.length());
-        while (!VERSION_PREFIX.startsWith(pending.substring(pending.length() - kept))) {
-            kept--;
+    private boolean readLine(final String line, final int limit) {
+        final int statusLine = line.lastIndexOf(VERSION_PREFIX);
+        if (statusLine >= 0 && lineStart + statusLine < limit && mayBeStatusLine(line.substring(statusLine), false)) {
+            headStart = lineStart + statusLine;
+            return false;
+        }
+        if (line.isEmpty()) {
+            headStart = NONE;
         }
-        pending.delete(0, pending.length() - kept);
+        final int colon = line.indexOf(':');
+        return headStart != NONE
+                && colon >= 0
+                && carriedId.test(line.substring(colon + 1).trim());
     }
 
-    private boolean namesCarriedRequest(final int start, final int end) {
-        final String head = pending.substring(start, end);
-        final Matcher statusLine = STATUS_LINE.matcher(head);
-        if (!statusLine.lookingAt() || head.lastIndexOf(VERSION_PREFIX, statusLine.end()) > 0) {
-            return false;
+    private static boolean mayBeStatusLine(final String text, final boolean unfinished) {
+        final Matcher statusLine = STATUS_LINE.matcher(text);
+        return statusLine.lookingAt() || unfinished && statusLine.hitEnd();
+    }
+
+    private void keepHeadOrItsBeginning(final int limit) {
+        int kept = headStart;
+        if (kept == NONE || pending.length() - kept >= MAX_HEAD_CHARS) {
+            headStart = NONE;
+            kept = unfinishedStatusLine(limit);
         }
-        int lineStart = statusLine.end();
-        int lineEnd = head.indexOf(LINE_END, lineStart);
-        while (lineEnd >= 0) {
-            final int colon = head.indexOf(':', lineStart);
-            if (colon >= 0
-                    && colon < lineEnd
-                    && carriedId.test(head.substring(colon + 1, lineEnd).trim())) {
-                return true;
-            }
-            lineStart = lineEnd + LINE_END.length();
-            lineEnd = head.indexOf(LINE_END, lineStart);
+        pending.delete(0, kept);
+        lineStart = Math.max(0, lineStart - kept);
+        headStart = headStart == NONE ? NONE : 0;
+    }
+
+    private int unfinishedStatusLine(final int limit) {
+        final String line = pending.substring(lineStart);
+        final int start = line.lastIndexOf(VERSION_PREFIX, limit - 1 - lineStart);
+        if (start >= 0 && line.length() - start < MAX_HEAD_CHARS && mayBeStatusLine(line.substring(start), true)) {
+            return lineStart + start;
         }
-        return false;
+        int kept = Math.min(VERSION_PREFIX.length() - 1, line.length());
+        while (!VERSION_PREFIX.startsWith(line.substring(line.length() - kept))) {
+            kept--;
+        }
+        return pending.length() - kept;
     }
 }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CopyScannerTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CopyScannerTest.java
@@ -1,6 +1,7 @@
 package org.balsambank.gateway.target;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -20,6 +21,7 @@
     private static final String BODY =
             "HHTTP/1.HTTP/1.1 404 quotedHTTP/1.1 200 OK\r\nServer: a\r\nId: r1\r\nVia: b\r\n\r\n";
     private static final int MANY = 100_000;
+    private static final int MANY_HEADS = 1_000;
 
     private final CopyScanner scanner = new CopyScanner("r1"::equals);
 
@@ -64,6 +66,40 @@
         assertFalse(scanner.append(bytes("\r\nId: r1\r\n\r\n")));
     }
 
+    // Guards against time that grows with the square of the body or more, as it holds up all requests of the VM.
+    @Test
+    void lineIsReadOnceNoMatterHowManyStatusLinesAreBeforeIt() {
+        final AtomicInteger read = new AtomicInteger();
+        final CopyScanner counting = new CopyScanner(text -> read.incrementAndGet() < 0);
+        assertFalse(counting.append(bytes("HTTP/1.1 200 OK\r\na: b\r\n".repeat(MANY_HEADS))));
+        assertTrue(read.get() <= MANY_HEADS, read + " lines");
+    }
+
+    // Guards against the same where a body comes in many parts.
+    @Test
+    void lineIsReadOnceNoMatterHowManyPartsFollowIt() {
+        final AtomicInteger read = new AtomicInteger();
+        final CopyScanner counting = new CopyScanner(text -> read.incrementAndGet() < 0);
+        assertFalse(counting.append(bytes("HTTP/1.1 200 OK\r\n")));
+        for (int i = 0; i < MANY_HEADS; i++) {
+            assertFalse(counting.append(bytes("a: b\r\n")));
+        }
+        assertTrue(read.get() <= MANY_HEADS, read + " lines");
+    }
+
+    // Guards against a copy that is not found since the body mentions a version before it.
+    @Test
+    void copyIsFoundBehindTheMentionOfAVersion() {
+        assertTrue(scanner.append(bytes("HTTP/1.1 is old.\r\nHTTP/1.1 200 OK\r\nId: r1\r\nVia")));
+    }
+
+    // Guards against a sound response that is broken off since it mentions a version and a part of a copy is behind it.
+    @Test
+    void mentionOfAVersionIsNoBeginningOfACopy() {
+        assertFalse(scanner.append(bytes("HTTP/1.1 is old.")));
+        assertFalse(scanner.appendBehindEnd(bytes("HTTP/1.1 200 OK\r\nId: r1\r\nVia")));
+    }
+
     private static Stream<Integer> splits() {
         return IntStream.rangeClosed(0, BODY.length()).boxed();
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/JoinedResponseTest.java
@@ -144,6 +144,15 @@
         assertEquals("an H", response.body.toString());
     }
 
+    // Guards against MIXED: the same where the body mentions a version before the copy, and nothing follows.
+    @Test
+    void bodyThatMentionsAVersionIsNotFilledUp() throws Exception {
+        final String body = "HTTP/1.1 is old.\r\nHTTP/1.1 200 OK\r\nId: r1\r\nContent-Le";
+        listen(response -> "");
+        target.addResponse("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        assertFalse(exchange("r1").last);
+    }
+
     // Guards against sound responses that are lost since their body quotes a response.
     @Test
     void bodyThatQuotesAResponseIsWhole() throws Exception {
