Lose a request at once whose target switches the protocol

What would be seen: a request waits for its deadline though its target has answered, if a 101 came before the answer.

Cause: after a 101 without HTTP among its upgrades the decoder passes all bytes on undecoded, and the handler of the connection takes decoded messages only. No request of ours asks for a switch, so a 101 is a protocol violation; the client of orders took it for one before.

Evidence: ShortCopyTest, real sockets: no end within the 10 s of the test before; lost at once now.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -35,6 +35,7 @@
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(400);
+    private static final String ANOTHER_RESPONSE = "another response in the body";
 
     private final TargetConnectionPool pool;
     private final StrictResponseDecoder decoder;
@@ -187,8 +188,12 @@
 
     private void handleHead(final HttpResponse head) {
         informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            malformed("a switch to another protocol");
+            connectionLost();
+            return;
+        }
         if (informational) {
-            reusable &= head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
             return;
         }
         responseStarted = true;
@@ -220,7 +225,7 @@
             return;
         }
         if (copies.append(chunk) || last && copies.appendBehindEnd(decoder.unreadBytes())) {
-            anotherResponseInBody();
+            malformed(ANOTHER_RESPONSE);
             connectionLost();
             return;
         }
@@ -286,9 +291,9 @@
         super.userEventTriggered(context, event);
     }
 
-    private void anotherResponseInBody() {
+    private void malformed(final String reason) {
         malformed = true;
-        pool.faults().malformed(currentAttempt.id(), new DecoderException("another response in the body"));
+        pool.faults().malformed(currentAttempt.id(), new DecoderException(reason));
     }
 
     private void unsolicitedBytes() {
@@ -302,7 +307,7 @@
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
         final boolean unsolicited = cause instanceof StrictResponseDecoder.UnsolicitedBytesException;
         if (unsolicited && heldEnd.isPresent()) {
-            anotherResponseInBody();
+            malformed(ANOTHER_RESPONSE);
         } else if (unsolicited) {
             unsolicitedBytes();
         } else {
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
@@ -98,6 +98,12 @@
         return Stream.of("0", "0\r", "0\r\n", "0\r\n\r");
     }
 
+    // Guards against the same behind a switch to another protocol, after which no response is decoded.
+    @Test
+    void requestIsLostAtOnceIfTheProtocolIsSwitched() throws Exception {
+        assertLost("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n", FAILURE);
+    }
+
     // Guards against sound responses that are lost since a copy before them names the request.
     @Test
     void requestIsAnsweredIfACopyIsWholeAndNamesIt() throws Exception {
