Send no request on a new connection whose end was read

What would be seen: a request waits for its deadline, without being sent elsewhere, if its target closes a new connection before anything is sent.

Cause: connections allow half-closure, so one that its target has closed stays active. Its end was read before the request was sent and reported only once, when there was no request that could have been lost.

Evidence: EarlyCloseTest, real sockets: no end within the 10 s of the test before; not sent, at once, now. All tests of the package pass.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -145,6 +145,15 @@
         return channel != null && channel.isActive() && channel.config().isAutoRead() && !decoder.inputEnded();
     }
 
+    /**
+     * Returns whether the target has ended its side of the connection, so that no response can come.
+     *
+     * @return true once the end was read
+     */
+    boolean inputEnded() {
+        return decoder.inputEnded();
+    }
+
     /**
      * Finds out whether the process of the target has ended, after the response on this connection was lost.
      *
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -184,7 +184,8 @@
     }
 
     private void sendOnNew(final TargetConnection connection, final Channel open, final TargetAttempt attempt) {
-        if (!open.isActive()) {
+        if (!open.isActive() || connection.inputEnded()) {
+            open.close();
             attempt.notSent();
         } else if (attempt.wanted()) {
             attempt.setConnection(connection);
