Lose a response on the own interface whose body holds another one

What would be seen: a target breaks a response off and goes on with a second copy of it; the caller gets a complete success with a wrong body.

Cause: only connections on the platform searched bodies for the beginning of another response. A connection of the own interface carries one request, but a second copy of its response may come on it.

Evidence: HttpTargetClientTest, a body of 200 bytes of which 150 are those of the copy: complete before, lost now. A body that quotes a response to another request is whole before and now. The tests of a 101 and of the quote passed before the change.

Change: the search moves to the core, beside JoinedHead, unchanged, and the calls of the own interface use it. Not seen: a copy without an id, and one whose id comes behind the end of the body.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/target/TargetCall.java
@@ -1,5 +1,6 @@
 package org.balsambank.daemon.target;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Objects;
@@ -16,6 +17,7 @@
 import org.balsambank.core.catalogue.Target;
 import org.balsambank.core.catalogue.TargetKind;
 import org.balsambank.core.id.Epoch;
+import org.balsambank.core.port.CopyScanner;
 import org.balsambank.core.port.JoinedHead;
 import org.balsambank.core.port.TargetException;
 import org.balsambank.core.port.TargetException.Reason;
@@ -54,6 +56,7 @@
     private final long silenceTimeoutNanos;
     private final Queue<RelayEvent> events = new ArrayDeque<>(2);
     private final StreamEndDetector endDetector = new StreamEndDetector();
+    private final CopyScanner copies;
     private HttpClientRequest request;
     private HttpClientResponse response;
     private Disposable silenceCheck = Disposable.disposed();
@@ -91,6 +94,7 @@
         this.subscriber = Objects.requireNonNull(subscriber);
         this.timer = Objects.requireNonNull(timer);
         this.faults = Objects.requireNonNull(faults);
+        copies = new CopyScanner(relayRequest.getRequestId()::equals);
         this.silenceTimeoutNanos = relayRequest.getStreaming()
                 ? timeouts.streamSilence().toNanos()
                 : timeouts.responseSilence().toNanos();
@@ -203,6 +207,13 @@
 
     private void chunkReceived(final Buffer data) {
         awaitingBytes = false;
+        if (copies.append(data.toString(StandardCharsets.ISO_8859_1))) {
+            if (!terminated) {
+                faults.count(ResponseFaults.Kind.MALFORMED);
+            }
+            fail(Reason.LOST, "another response begins in the body");
+            return;
+        }
         receivedBytes += data.length();
         endDetector.accept(data);
         events.add(RelayEvent.newBuilder()
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/target/HttpTargetClientTest.java
@@ -143,6 +143,32 @@
         assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(response), false)));
     }
 
+    // Guards against MIXED: a body that is broken off and filled up with the beginning of a second copy.
+    @Test
+    void bodyThatIsFilledUpWithACopyIsLost() {
+        final String response = OK + "X-Request-Id: r1\r\nContent-Length: 200\r\n\r\n" + "0123456789".repeat(20);
+        final String part = response.substring(0, response.length() - 150);
+        assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(part + response), false)));
+    }
+
+    // Guards against sound responses that are lost since their body quotes a response.
+    @Test
+    void bodyThatQuotesAResponseIsWhole() {
+        final String quote = OK + "X-Request-Id: r0\r\nContent-Length: 3\r\n\r\nold";
+        final String response = OK + "X-Request-Id: r1\r\nContent-Length: " + quote.length() + "\r\n\r\n" + quote;
+        final TestSubscriber<RelayEvent> received = call((socket, request) -> socket.write(response), false);
+        received.assertComplete();
+        assertEquals(quote, body(received));
+    }
+
+    // Guards against a switch of protocols that is passed on as a response, or never ends.
+    @Test
+    void switchOfProtocolsIsLost() {
+        final String response = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n" + OK
+                + "X-Request-Id: r1\r\nContent-Length: 3\r\n\r\nnew";
+        assertEquals(Reason.LOST, reason(call((socket, request) -> socket.write(response), false)));
+    }
+
     // Guards against an id that is compared leniently: ids that differ in case or length are those of two requests.
     @Test
     void responseWhoseIdDiffersInCaseOrLengthIsLost() {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
@@ -1,37 +1,17 @@
 package org.balsambank.gateway.target;
 
 import java.nio.charset.StandardCharsets;
-import java.util.Objects;
 import java.util.function.Predicate;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 
 /**
- * Finds the beginning of another response inside a body.
+ * Finds the beginning of another response in the bytes of a body.
  *
- * <p>A target may break a response off and go on with another one, a copy or the next response. A body with a length
- * then ends with bytes of that other one. What gives it away is a status line in the body, followed by headers of which
- * one holds the id of a request that the connection has carried. A body that only quotes a response holds no such id.
- *
- * <p>Invariants: holds at most {@value #MAX_HEAD_CHARS} characters beyond what is appended at a time; reads each line
- * once, against the last status line before it. Confined to the decision loop.
+ * <p>Confined to the decision loop.
  */
 final class CopyScanner {
-    private static final String VERSION_PREFIX = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [0-9]{3}");
-    private static final String LINE_END = "\r\n";
-    private static final int MAX_HEAD_CHARS = 8_192;
-    private static final int NONE = -1;
-
-    private final Predicate<String> carriedId;
-    /** What may be the beginning of another response, up to the last byte of the body so far. */
-    private final StringBuilder pending = new StringBuilder();
-    /** Where the last status line begins whose headers are being read, or {@link #NONE}. */
-    private int headStart = NONE;
-    /** Where the first line begins that has not been read to its end. */
-    private int lineStart;
+    private final org.balsambank.core.port.CopyScanner scanner;
 
     /**
      * Creates a scanner for a body of which nothing has arrived.
@@ -39,14 +19,12 @@
      * @param carriedId whether a text may be the id of a request that the connection has carried
      */
     CopyScanner(final Predicate<String> carriedId) {
-        this.carriedId = Objects.requireNonNull(carriedId);
+        scanner = new org.balsambank.core.port.CopyScanner(carriedId);
     }
 
     /** Begins with another body. */
     void reset() {
-        pending.setLength(0);
-        headStart = NONE;
-        lineStart = 0;
+        scanner.reset();
     }
 
     /**
@@ -56,11 +34,10 @@
      * @return whether the body holds the beginning of another response
      */
     boolean append(final ByteBuf bytes) {
-        if (pending.isEmpty() && bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) 'H') < 0) {
+        if (!scanner.endsUndecided() && bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) 'H') < 0) {
             return false;
         }
-        pending.append(bytes.toString(StandardCharsets.ISO_8859_1));
-        return search(pending.length());
+        return scanner.append(bytes.toString(StandardCharsets.ISO_8859_1));
     }
 
     /**
@@ -70,13 +47,9 @@
      * @return whether another response may begin in the body and go on in these bytes
      */
     boolean appendBehindEnd(final ByteBuf bytes) {
-        if (pending.isEmpty() || !bytes.isReadable()) {
-            return false;
-        }
-        final int bodyEnd = pending.length();
-        final int length = Math.min(bytes.readableBytes(), MAX_HEAD_CHARS);
-        pending.append(bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
-        return search(bodyEnd) || pending.length() > length;
+        final int length = Math.min(bytes.readableBytes(), org.balsambank.core.port.CopyScanner.MAX_HEAD_CHARS);
+        return scanner.endsUndecided()
+                && scanner.appendBehindEnd(bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
     }
 
     /**
@@ -85,69 +58,6 @@
      * @return true if only the bytes behind it can tell
      */
     boolean endsUndecided() {
-        return !pending.isEmpty();
-    }
-
-    /**
-     * Reads on where the last search ended.
-     *
-     * @param limit where the body ends; another response must begin before
-     * @return whether another response begins there
-     */
-    private boolean search(final int limit) {
-        int lineEnd = pending.indexOf(LINE_END, lineStart);
-        while (lineEnd >= 0) {
-            if (readLine(pending.substring(lineStart, lineEnd), limit)) {
-                return true;
-            }
-            lineStart = lineEnd + LINE_END.length();
-            lineEnd = pending.indexOf(LINE_END, lineStart);
-        }
-        keepHeadOrItsBeginning(limit);
-        return false;
-    }
-
-    private boolean readLine(final String line, final int limit) {
-        final int statusLine = line.lastIndexOf(VERSION_PREFIX);
-        if (statusLine >= 0 && lineStart + statusLine < limit && mayBeStatusLine(line.substring(statusLine), false)) {
-            headStart = lineStart + statusLine;
-            return false;
-        }
-        if (line.isEmpty()) {
-            headStart = NONE;
-        }
-        final int colon = line.indexOf(':');
-        return headStart != NONE
-                && colon >= 0
-                && carriedId.test(line.substring(colon + 1).trim());
-    }
-
-    private static boolean mayBeStatusLine(final String text, final boolean unfinished) {
-        final Matcher statusLine = STATUS_LINE.matcher(text);
-        return statusLine.lookingAt() || unfinished && statusLine.hitEnd();
-    }
-
-    private void keepHeadOrItsBeginning(final int limit) {
-        int kept = headStart;
-        if (kept == NONE || pending.length() - kept >= MAX_HEAD_CHARS) {
-            headStart = NONE;
-            kept = unfinishedStatusLine(limit);
-        }
-        pending.delete(0, kept);
-        lineStart = Math.max(0, lineStart - kept);
-        headStart = headStart == NONE ? NONE : 0;
-    }
-
-    private int unfinishedStatusLine(final int limit) {
-        final String line = pending.substring(lineStart);
-        final int start = line.lastIndexOf(VERSION_PREFIX, limit - 1 - lineStart);
-        if (start >= 0 && line.length() - start < MAX_HEAD_CHARS && mayBeStatusLine(line.substring(start), true)) {
-            return lineStart + start;
-        }
-        int kept = Math.min(VERSION_PREFIX.length() - 1, line.length());
-        while (!VERSION_PREFIX.startsWith(line.substring(line.length() - kept))) {
-            kept--;
-        }
-        return pending.length() - kept;
+        return scanner.endsUndecided();
     }
 }
