Lose a request whose target sends heads of other responses without end

What would be seen: a target that sends heads of other responses, or informational ones, without end keeps a VM busy until the deadline of the request, with a line in the log for each passed over.

Cause: nothing bounded how many are passed over while one request waits, though a connection carries at most 256 requests, each with a late copy.

Evidence: ShortCopyTest, real sockets, 1,000 heads and no response: no end within the 10 s of the test before, for each of the two kinds; lost at once now.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -35,6 +35,9 @@
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(400);
+    /** The most heads that are passed over while one request waits: a late copy for each request, or some hints. */
+    private static final int MAX_OTHER_HEADS = 256;
+
     private static final String ANOTHER_RESPONSE = "another response in the body";
 
     private final TargetConnectionPool pool;
@@ -47,6 +50,7 @@
     private boolean informational;
     private boolean responseStarted;
     private boolean malformed;
+    private int otherHeads;
     /** The end of a complete body, until what arrived behind it is read: it may be a part of another response. */
     private Optional<ByteBuf> heldEnd = Optional.empty();
 
@@ -75,6 +79,7 @@
         channel = open;
         currentAttempt = attempt;
         responseStarted = false;
+        otherHeads = 0;
         carried.add(attempt.id());
         decoder.expectResponse(attempt.hasNoBody());
         attempt.write(channel);
@@ -203,6 +208,7 @@
             return;
         }
         if (informational) {
+            otherHead();
             return;
         }
         responseStarted = true;
@@ -214,10 +220,20 @@
         final boolean own = currentAttempt.head(head);
         if (!own) {
             pool.faults().passedOver(waiting, head);
+            otherHead();
         }
         reusable &= own && pool.dialect().hasRequestId(head);
     }
 
+    /** Loses the request if its target sends heads without end that are not of its response. */
+    private void otherHead() {
+        otherHeads++;
+        if (otherHeads > MAX_OTHER_HEADS) {
+            malformed("too many heads of other responses");
+            connectionLost();
+        }
+    }
+
     private void handleContent(final HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
         if (informational) {
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -32,6 +33,7 @@
     private static final int TIMEOUT_SECONDS = 10;
     private static final int NO_LIMIT = 0;
     private static final int BODY_LENGTH = 400;
+    private static final int MANY = 1_000;
     private static final String BODY = "x".repeat(BODY_LENGTH);
     private static final String HEAD = "HTTP/1.1 200 OK\r\nId: r1\r\n";
     private static final String SUCCESS = HEAD + "Content-Length: " + BODY_LENGTH + "\r\n\r\n" + BODY;
@@ -104,6 +106,13 @@
         assertLost("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n", FAILURE);
     }
 
+    // Guards against a target that sends heads without end, each with a line in the log, until the deadline.
+    @ParameterizedTest
+    @ValueSource(strings = {HEAD + "Content-Length: 0\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"})
+    void requestIsLostAtOnceIfOtherHeadsComeWithoutEnd(final String head) throws Exception {
+        assertLost(head.repeat(MANY), "");
+    }
+
     // Guards against sound responses that are lost since a copy before them names the request.
     @Test
     void requestIsAnsweredIfACopyIsWholeAndNamesIt() throws Exception {
