--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -35,6 +35,10 @@
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofMillis(1_000);
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(400);
+    /** The most heads that are passed over while one request waits: a late copy for each request, or some hints. */
+    private static final int MAX_OTHER_HEADS = 256;
+
+    private static final String ANOTHER_RESPONSE = "another response in the body";
 
     private final TargetConnectionPool pool;
     private final StrictResponseDecoder decoder;
@@ -46,6 +50,7 @@
     private boolean informational;
     private boolean responseStarted;
     private boolean malformed;
+    private int otherHeads;
     /** The end of a complete body, until what arrived behind it is read: it may be a part of another response. */
     private Optional<ByteBuf> heldEnd = Optional.empty();
 
@@ -74,6 +79,7 @@
         channel = open;
         currentAttempt = attempt;
         responseStarted = false;
+        otherHeads = 0;
         carried.add(attempt.id());
         decoder.expectResponse(attempt.hasNoBody());
         attempt.write(channel);
@@ -144,6 +150,15 @@
         return channel != null && channel.isActive() && channel.config().isAutoRead() && !decoder.inputEnded();
     }
 
+    /**
+     * Returns whether the target has ended its side of the connection, so that no response can come.
+     *
+     * @return true once the end was read
+     */
+    boolean inputEnded() {
+        return decoder.inputEnded();
+    }
+
     /**
      * Finds out whether the process of the target has ended, after the response on this connection was lost.
      *
@@ -187,8 +202,13 @@
 
     private void handleHead(final HttpResponse head) {
         informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        if (head.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            malformed("a switch to another protocol");
+            connectionLost();
+            return;
+        }
         if (informational) {
-            reusable &= head.status().code() != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
+            otherHead();
             return;
         }
         responseStarted = true;
@@ -200,10 +220,20 @@
         final boolean own = currentAttempt.head(head);
         if (!own) {
             pool.faults().passedOver(waiting, head);
+            otherHead();
         }
         reusable &= own && pool.dialect().hasRequestId(head);
     }
 
+    /** Loses the request if its target sends heads without end that are not of its response. */
+    private void otherHead() {
+        otherHeads++;
+        if (otherHeads > MAX_OTHER_HEADS) {
+            malformed("too many heads of other responses");
+            connectionLost();
+        }
+    }
+
     private void handleContent(final HttpContent content) {
         final boolean last = content instanceof LastHttpContent;
         if (informational) {
@@ -220,7 +250,7 @@
             return;
         }
         if (copies.append(chunk) || last && copies.appendBehindEnd(decoder.unreadBytes())) {
-            anotherResponseInBody();
+            malformed(ANOTHER_RESPONSE);
             connectionLost();
             return;
         }
@@ -286,9 +316,9 @@
         super.userEventTriggered(context, event);
     }
 
-    private void anotherResponseInBody() {
+    private void malformed(final String reason) {
         malformed = true;
-        pool.faults().malformed(currentAttempt.id(), new DecoderException("another response in the body"));
+        pool.faults().malformed(currentAttempt.id(), new DecoderException(reason));
     }
 
     private void unsolicitedBytes() {
@@ -302,7 +332,7 @@
     public void exceptionCaught(final ChannelHandlerContext context, final Throwable cause) {
         final boolean unsolicited = cause instanceof StrictResponseDecoder.UnsolicitedBytesException;
         if (unsolicited && heldEnd.isPresent()) {
-            anotherResponseInBody();
+            malformed(ANOTHER_RESPONSE);
         } else if (unsolicited) {
             unsolicitedBytes();
         } else {
