--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/EarlyCloseTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/EarlyCloseTest.java
@@ -7,14 +7,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
-import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -67,15 +61,6 @@
     }
 
     private static TargetAttempt attempt(final RecordingListener listener) {
-        final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/x");
-        return new TargetAttempt(
-                new TestDialect(),
-                new RequestId("r1"),
-                request,
-                request.headers(),
-                Unpooled.EMPTY_BUFFER,
-                false,
-                listener,
-                listener);
+        return TestAttempts.of("r1", listener);
     }
 }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LateCopyTest.java
@@ -4,15 +4,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
-import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -88,11 +81,8 @@
 
     /** Sends a request and returns the body of its response. */
     private String exchange(final String id, final int maxConnections) throws InterruptedException {
-        final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/x");
-        final ByteBuf noBody = Unpooled.EMPTY_BUFFER;
         final RecordingListener listener = new RecordingListener();
-        final TargetAttempt attempt = new TargetAttempt(
-                new TestDialect(), new RequestId(id), request, request.headers(), noBody, false, listener, listener);
+        final TargetAttempt attempt = TestAttempts.of(id, listener);
         group.execute(() -> pool.start(attempt, maxConnections));
         assertTrue(listener.hasEnded.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
         assertEquals(List.of(AttemptEnd.COMPLETE), listener.ends);
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LossCheckTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/LossCheckTest.java
@@ -5,14 +5,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
-import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.poison.LossFinding;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -89,18 +83,9 @@
     }
 
     private RecordingListener send() {
-        final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/x");
         final RecordingListener listener = new RecordingListener();
         listener.checksLosses = listeners.add(listener);
-        final TargetAttempt attempt = new TargetAttempt(
-                new TestDialect(),
-                new RequestId("r1"),
-                request,
-                request.headers(),
-                Unpooled.EMPTY_BUFFER,
-                false,
-                listener,
-                listener);
+        final TargetAttempt attempt = TestAttempts.of("r1", listener);
         group.execute(() -> pool.start(attempt, 0));
         return listener;
     }
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/ShortCopyTest.java
@@ -6,14 +6,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
-import org.balsambank.core.id.RequestId;
 import org.balsambank.core.serving.request.AttemptEnd;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -139,17 +133,8 @@
 
     /** Sends a request and returns what came back. */
     private RecordingListener exchange(final String id) throws InterruptedException {
-        final HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/p/x");
         final RecordingListener listener = new RecordingListener();
-        final TargetAttempt attempt = new TargetAttempt(
-                new TestDialect(),
-                new RequestId(id),
-                request,
-                request.headers(),
-                Unpooled.EMPTY_BUFFER,
-                false,
-                listener,
-                listener);
+        final TargetAttempt attempt = TestAttempts.of(id, listener);
         group.execute(() -> pool.start(attempt, NO_LIMIT));
         assertTrue(listener.hasEnded.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "no end");
         return listener;
