--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/CopyScanner.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/BodyScanner.java
@@ -4,22 +4,23 @@
 import java.util.function.Predicate;
 
 import io.netty.buffer.ByteBuf;
+import org.balsambank.core.port.CopyScanner;
 
 /**
  * Finds the beginning of another response in the bytes of a body.
  *
  * <p>Confined to the decision loop.
  */
-final class CopyScanner {
-    private final org.balsambank.core.port.CopyScanner scanner;
+final class BodyScanner {
+    private final CopyScanner scanner;
 
     /**
      * Creates a scanner for a body of which nothing has arrived.
      *
      * @param carriedId whether a text may be the id of a request that the connection has carried
      */
-    CopyScanner(final Predicate<String> carriedId) {
-        scanner = new org.balsambank.core.port.CopyScanner(carriedId);
+    BodyScanner(final Predicate<String> carriedId) {
+        scanner = new CopyScanner(carriedId);
     }
 
     /** Begins with another body. */
@@ -47,7 +48,7 @@
      * @return whether another response may begin in the body and go on in these bytes
      */
     boolean appendBehindEnd(final ByteBuf bytes) {
-        final int length = Math.min(bytes.readableBytes(), org.balsambank.core.port.CopyScanner.MAX_HEAD_CHARS);
+        final int length = Math.min(bytes.readableBytes(), CopyScanner.MAX_HEAD_CHARS);
         return scanner.endsUndecided()
                 && scanner.appendBehindEnd(bytes.toString(bytes.readerIndex(), length, StandardCharsets.ISO_8859_1));
     }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnection.java
@@ -43,7 +43,7 @@
     private final TargetConnectionPool pool;
     private final StrictResponseDecoder decoder;
     private final CarriedRequests carried = new CarriedRequests();
-    private final CopyScanner copies = new CopyScanner(carried::mayContainValue);
+    private final BodyScanner copies = new BodyScanner(carried::mayContainValue);
     private Channel channel;
     private TargetAttempt currentAttempt;
     private boolean reusable = true;
--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/CopyScannerTest.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/BodyScannerTest.java
@@ -16,14 +16,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Tests {@link CopyScanner}. */
-final class CopyScannerTest {
+/** Tests {@link BodyScanner}. */
+final class BodyScannerTest {
     private static final String BODY =
             "HHTTP/1.HTTP/1.1 404 quotedHTTP/1.1 200 OK\r\nServer: a\r\nId: r1\r\nVia: b\r\n\r\n";
     private static final int MANY = 100_000;
     private static final int MANY_HEADS = 1_000;
 
-    private final CopyScanner scanner = new CopyScanner("r1"::equals);
+    private final BodyScanner scanner = new BodyScanner("r1"::equals);
 
     @ParameterizedTest
     @MethodSource("splits")
@@ -70,7 +70,7 @@
     @Test
     void lineIsReadOnceNoMatterHowManyStatusLinesAreBeforeIt() {
         final AtomicInteger read = new AtomicInteger();
-        final CopyScanner counting = new CopyScanner(text -> read.incrementAndGet() < 0);
+        final BodyScanner counting = new BodyScanner(text -> read.incrementAndGet() < 0);
         assertFalse(counting.append(bytes("HTTP/1.1 200 OK\r\na: b\r\n".repeat(MANY_HEADS))));
         assertTrue(read.get() <= MANY_HEADS, read + " lines");
     }
@@ -79,7 +79,7 @@
     @Test
     void lineIsReadOnceNoMatterHowManyPartsFollowIt() {
         final AtomicInteger read = new AtomicInteger();
-        final CopyScanner counting = new CopyScanner(text -> read.incrementAndGet() < 0);
+        final BodyScanner counting = new BodyScanner(text -> read.incrementAndGet() < 0);
         assertFalse(counting.append(bytes("HTTP/1.1 200 OK\r\n")));
         for (int i = 0; i < MANY_HEADS; i++) {
             assertFalse(counting.append(bytes("a: b\r\n")));
