Ignore reports of claims and trials of other VMs that can't be read

What would be seen: a VM does not apply a digest any further, as an exception ends it, or counts a trial that nobody has sent. Cause: the rank in a claim was parsed without bounds, and any word that was not known counted as a trial. Class: input from outside taken without its bounds. Found by reading; no run has shown such a report.

Evidence: TargetCrashTrackerTest, eight words (none, letters, a fraction, negative, huge, no rank, another word): all eight cases failed before, four with an exception, four taken as a trial or a claim; all pass now. RequestTrialsTest and LostResponseTest pass as before.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/fleet/TargetCrashTracker.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.balsambank.core.id.BootId;
 import org.balsambank.core.id.Fingerprint;
@@ -26,6 +28,8 @@
     private static final String TRIAL = "trial";
     private static final String RESPONSE = "response";
     private static final String CLAIM = "claim:";
+    /** A claim with the number of VMs that come before the one that claims. */
+    private static final Pattern CLAIM_WORD = Pattern.compile(CLAIM + "([0-9]{1,6})");
 
     private final RequestVerdicts requests;
     private final List<BrokenRuns> unreported = new ArrayList<>();
@@ -131,7 +135,7 @@
     }
 
     /**
-     * Records what another VM has reported.
+     * Records what another VM has reported. A report that can't be read is ignored.
      *
      * @param report the report of a crash, a trial, a claim or a response
      * @param recent whether it has just happened
@@ -143,14 +147,15 @@
             return requests.recordReport(
                     fingerprint, new CrashId(new TargetId(report.getTarget()), new BootId(report.getBoot())), recent);
         }
-        if (report.getBoot().equals(RESPONSE)) {
+        final String word = report.getBoot();
+        if (word.equals(RESPONSE)) {
             return requests.recordResponseReport(fingerprint);
         }
-        if (report.getBoot().startsWith(CLAIM)) {
-            return requests.recordClaimReport(
-                    fingerprint, Integer.parseInt(report.getBoot().substring(CLAIM.length())));
+        if (word.equals(TRIAL)) {
+            return requests.recordTrialReport(fingerprint);
         }
-        return requests.recordTrialReport(fingerprint);
+        final Matcher claim = CLAIM_WORD.matcher(word);
+        return claim.matches() && requests.recordClaimReport(fingerprint, Integer.parseInt(claim.group(1)));
     }
 
     /**
