Write no body in responses to HEAD requests

Cause: whether a response has a body depends on the method of its request, and the encoder of responses did not know it. Each place that writes an own response had to; none did.

HeadResponseTest: the 28 cases of HEAD fail, the 13 of GET pass.

Change: CallerResponseEncoder, through which all bytes of responses go, is told the method of the request that is answered, and writes no body to HEAD, nor to a request whose method was not read.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerConnection.java
@@ -48,6 +48,8 @@
     private final CallerContext shared;
     private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
     private ClientAccount account;
+    private StrictRequestDecoder decoder;
+    private CallerResponseEncoder encoder;
     private ChannelHandlerContext context;
     private State state = State.IDLE;
     private HttpRequest head;
@@ -83,6 +85,17 @@
         account = opened;
     }
 
+    /**
+     * Sets what decodes the requests and encodes the responses, before the connection is active.
+     *
+     * @param requests decodes the requests
+     * @param responses encodes the responses
+     */
+    void setCodec(final StrictRequestDecoder requests, final CallerResponseEncoder responses) {
+        decoder = requests;
+        encoder = responses;
+    }
+
     @Override
     public void channelActive(final ChannelHandlerContext opened) {
         context = opened;
@@ -205,6 +218,9 @@
 
     private void process(final HttpObject part) {
         if (part.decoderResult().isFailure()) {
+            if (part instanceof HttpRequest request) {
+                headEnded(request);
+            }
             release(part);
             rejectUnreadable(part.decoderResult().cause());
             return;
@@ -217,8 +233,14 @@
         }
     }
 
-    private void startRequest(final HttpRequest request) {
+    /** Records the end of a head, valid or not; the next response answers its request. */
+    private void headEnded(final HttpRequest request) {
         readingHead = false;
+        encoder.setRequestMethod(StrictRequestDecoder.method(request));
+    }
+
+    private void startRequest(final HttpRequest request) {
+        headEnded(request);
         head = request;
         arrivedNanos = shared.timer().nanoTime();
         body = new RequestBody(account.direct());
@@ -289,6 +311,7 @@
             return;
         }
         exchange = null;
+        encoder.setRequestMethod(Optional.empty());
         releaseBody();
         AccountedHeaders.release(head.headers());
         account.requestEnded();
@@ -361,10 +384,18 @@
                 .with("outcome", kind.code())
                 .with("why", reason)
                 .write();
+        writeLast(kind);
+        closeGracefully(CloseReason.REJECTED);
+    }
+
+    /** Writes the last response of the connection, to a request that was not read whole. */
+    private void writeLast(final ErrorKind kind) {
+        if (readingHead) {
+            encoder.setRequestMethod(decoder.methodBeingRead());
+        }
         final FullHttpResponse response = shared.dialect().errorResponse(kind, Optional.empty());
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         context.writeAndFlush(response);
-        closeGracefully(CloseReason.REJECTED);
     }
 
     private void closeGracefully(final CloseReason reason) {
@@ -514,9 +545,7 @@
             return;
         }
         if (unread) {
-            final FullHttpResponse response = shared.dialect().errorResponse(ErrorKind.OVERLOADED, Optional.empty());
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response);
+            writeLast(ErrorKind.OVERLOADED);
         }
         context.close();
     }
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerListener.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/CallerListener.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.reactivex.rxjava3.core.Completable;
 import org.balsambank.gateway.loop.Channels;
 
@@ -75,15 +74,11 @@
 
     private void init(final SocketChannel opened, final CallerConnection connection, final ClientAccount account) {
         connection.setAccount(account);
-        opened.pipeline()
-                .addLast(
-                        new StrictRequestDecoder(
-                                shared.core().bounds().maxHeaderBytes(),
-                                account,
-                                connection::bytesReceived,
-                                connection::wastefulRead),
-                        new HttpResponseEncoder(),
-                        connection);
+        final StrictRequestDecoder decoder = new StrictRequestDecoder(
+                shared.core().bounds().maxHeaderBytes(), account, connection::bytesReceived, connection::wastefulRead);
+        final CallerResponseEncoder encoder = new CallerResponseEncoder();
+        connection.setCodec(decoder, encoder);
+        opened.pipeline().addLast(decoder, encoder, connection);
     }
 
     /**
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/StrictRequestDecoder.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/caller/StrictRequestDecoder.java
@@ -2,15 +2,20 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.IntConsumer;
 import java.util.function.LongConsumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpVersion;
 
 /**
  * Decodes the requests of one connection. Rejects a request with ambiguous framing, so that no part of its body can be
@@ -29,6 +34,7 @@
     private final ClientAccount account;
     private final IntConsumer onBytes;
     private final LongConsumer onWastefulRead;
+    private Optional<HttpMethod> methodBeingRead = Optional.empty();
 
     /**
      * Creates a decoder.
@@ -56,6 +62,25 @@
         this.onWastefulRead = Objects.requireNonNull(onWastefulRead);
     }
 
+    /**
+     * Returns the method of the request whose head is incomplete.
+     *
+     * @return the method; empty if its request line is incomplete, or if no head is being read
+     */
+    Optional<HttpMethod> methodBeingRead() {
+        return methodBeingRead;
+    }
+
+    /**
+     * Returns the method of a decoded request.
+     *
+     * @param request the request, valid or not
+     * @return the method, empty if its request line is invalid
+     */
+    static Optional<HttpMethod> method(final HttpRequest request) {
+        return request instanceof UnreadRequest ? Optional.empty() : Optional.of(request.method());
+    }
+
     @Override
     public void channelRead(final ChannelHandlerContext context, final Object message) throws Exception {
         if (!(message instanceof ByteBuf read)) {
@@ -78,11 +103,34 @@
     protected void decode(final ChannelHandlerContext context, final ByteBuf in, final List<Object> out)
             throws Exception {
         account.unitDecoded();
+        final int decodedBefore = out.size();
         super.decode(context, in, out);
+        if (out.subList(decodedBefore, out.size()).stream().anyMatch(HttpRequest.class::isInstance)) {
+            methodBeingRead = Optional.empty();
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(final String[] initialLine) throws Exception {
+        final HttpMessage message = super.createMessage(initialLine);
+        methodBeingRead = Optional.of(((HttpRequest) message).method());
+        return message;
+    }
+
+    @Override
+    protected HttpMessage createInvalidMessage() {
+        return new UnreadRequest();
     }
 
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(final HttpMessage message) {
         throw new IllegalArgumentException("both Content-Length and Transfer-Encoding: chunked");
     }
+
+    /** Stands for a request whose request line is invalid, so that its method is unknown. Confined like the decoder. */
+    static final class UnreadRequest extends DefaultFullHttpRequest {
+        private UnreadRequest() {
+            super(HttpVersion.HTTP_1_0, HttpMethod.GET, "/");
+        }
+    }
 }
