Write no body to a request whose request line was not read, on the own interface

Callers would see: HEAD with a request line over the limit is answered 431 with a body. The connection ends then, so no response is mixed up; the bytes are no answer all the same.

Vert.x drops the body for HEAD, but the decoder gives a request whose line is too long the method GET.

Evidence: CallerServerTest.responseToUnreadHeadEndsWithItsHead failed before, with {"error":...} behind the head. responseToHeadEndsWithItsHead, for requests that were read whole, passed at once: 4xx, 502 and 200 of a target.

A line that is no request line at all still gets its error in the body: no method can be told from it.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallerServer.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.opentelemetry.api.trace.Span;
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
@@ -140,8 +141,13 @@
         final Throwable cause = request.decoderResult().cause();
         final ErrorKind kind =
                 cause instanceof TooLongFrameException ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
-        ResponseWriter.writeError(
-                request.response(), new BalsambankException(kind, "the head of the request is refused"));
+        if (cause instanceof TooLongHttpLineException) {
+            // The method is unknown, and a response to HEAD must not have a body.
+            request.response().setStatusCode(kind.status()).end();
+        } else {
+            ResponseWriter.writeError(
+                    request.response(), new BalsambankException(kind, "the head of the request is refused"));
+        }
         request.connection().close();
     }
 }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
@@ -219,6 +219,44 @@
         }
     }
 
+    // Guards against a body behind the head of a response to HEAD, which callers take for the next response.
+    @Test
+    void responseToHeadEndsWithItsHead() throws IOException {
+        final String next = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: "
+                + COMPLETION.length() + "\r\n\r\n" + COMPLETION;
+        for (final String path : List.of("/v2/completions", "/v1/completions", "/services/orders/a/../b")) {
+            assertHeadAlone("HTTP/1.1 4", "HTTP/1.1 200", sendRaw(head(path, "") + next));
+        }
+        assertHeadAlone("HTTP/1.1 200", "HTTP/1.1 200", sendRaw(head("/services/orders/a", "") + next));
+        response = Flowable.error(lost());
+        assertHeadAlone("HTTP/1.1 502", "HTTP/1.1 502", sendRaw(head("/services/orders/a", "") + next));
+    }
+
+    // Guards against the same for a HEAD request that is not read whole, after which the connection ends.
+    @Test
+    void responseToUnreadHeadEndsWithItsHead() throws IOException {
+        final String flood = "x".repeat(2 * HEADER_BYTES);
+        assertHeadAlone("HTTP/1.", "", sendRaw(head("/v1/completions", "X-Flood: " + flood + "\r\n")));
+        assertHeadAlone("HTTP/1.", "", sendRaw(head("/v1/" + flood, "")));
+        assertHeadAlone("HTTP/1.", "", sendRaw(head("/v1/completions", "no field\r\n")));
+        assertHeadAlone("HTTP/1.1 408", "", sendRaw(head("/v1/completions", "Content-Length: 5\r\n")));
+        assertHeadAlone(
+                "HTTP/1.1 413",
+                "",
+                sendRaw(head("/v1/completions", "Content-Length: " + BODY_BYTES * 2 + "\r\n")
+                        + "x".repeat(BODY_BYTES * 2)));
+    }
+
+    private static String head(final String path, final String fields) {
+        return "HEAD " + path + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n";
+    }
+
+    private static void assertHeadAlone(final String start, final String next, final String text) {
+        final int end = text.indexOf("\r\n\r\n") + "\r\n\r\n".length();
+        assertTrue(text.startsWith(start), text);
+        assertTrue(next.isEmpty() ? text.length() == end : text.startsWith(next, end), text);
+    }
+
     private String postUnchecked(final String headers) {
         try {
             return post("/v1/completions", headers, COMPLETION);
