Load no more adapters than the memory of a target holds

Cause: a target has adapter slots, and memory that base models and adapters share. Orders were decided by the slots alone; AdapterMb was not read, and WeightsMb was read and used nowhere.

Ruled out by the record of the untouched run: late orders (each crash follows an order that was accepted in turn, with the right ExpectedRevision) and adapters in transit that are not counted (a slot was free at each crash).

Change: TargetOccupancy adds up slots and memory; the controller asks it before each load and evicts only where that makes room, and the choice of targets asks it too. What fits exactly is used (sizes are exact bytes). A request for an adapter that fits nowhere is refused at once. The log line order tells the memory taken.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/EngineEstimate.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/EngineEstimate.java
@@ -1,5 +1,7 @@
 package org.balsambank.core.serving.choice;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -10,6 +12,7 @@
 import org.balsambank.core.serving.load.LoadForecast;
 import org.balsambank.core.serving.placement.AdapterKey;
 import org.balsambank.core.serving.placement.ResidencyTable;
+import org.balsambank.core.serving.placement.TargetOccupancy;
 import org.balsambank.core.serving.placement.TargetResidency;
 import org.balsambank.core.serving.plan.EngineSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
@@ -23,7 +26,7 @@
  * <p>Confined to the decision loop.
  */
 final class EngineEstimate {
-    private static final double NO_FREE_SLOT_MILLIS = 1_500;
+    private static final double NO_ROOM_MILLIS = 1_500;
     private static final double FULL_TARGET_MILLIS = 400;
     private static final double FAILURE_COST = 0.8;
     private static final double UNCONTROLLED_COST = 5;
@@ -74,10 +77,15 @@
         this.waits = Objects.requireNonNull(waits);
     }
 
-    /** Returns whether a target holds the base model that a request names. */
-    boolean hasModel(final TargetRequirements required, final TargetAnnouncement target) {
-        return required.model().isEmpty()
-                || residency.hasModel(target, required.model().get());
+    /** Returns whether a target holds the base model that a request names, and the adapter or room for it beside it. */
+    boolean canServe(final TargetRequirements required, final TargetAnnouncement target, final EngineSpec spec) {
+        if (required.model().isEmpty()) {
+            return true;
+        }
+        return residency.hasModel(target, required.model().get())
+                && (resident(required, target)
+                        || new TargetOccupancy(spec, residency.models(target))
+                                .fits(required.adapter().get()));
     }
 
     /** Returns whether no adapter must be loaded at a target for a request. */
@@ -140,8 +148,8 @@
             if (waits.isPresent() && waits.get().avoided(target.id())) {
                 cost += UNCONTROLLED_COST;
             }
-            if (!expected && !hasFreeSlot(target.id(), residencyAtTarget, spec)) {
-                loadMillis += NO_FREE_SLOT_MILLIS;
+            if (!expected && !hasRoom(target, adapter, residencyAtTarget, spec)) {
+                loadMillis += NO_ROOM_MILLIS;
             }
             if (uncontrolled.test(target.id()) || !residencyAtTarget.responsive()) {
                 cost += UNCONTROLLED_COST;
@@ -181,19 +189,21 @@
             return usual;
         }
         final double unlikeUsual = localCopy ? 0 : waits.get().loadMillis() - LoadEstimate.FROM_STORE_MILLIS;
-        return usual + unlikeUsual + ORDER_MILLIS * coming(target, residencyAtTarget);
+        return usual
+                + unlikeUsual
+                + ORDER_MILLIS * coming(target, residencyAtTarget).size();
     }
 
-    /** Returns how many adapters are requested or being loaded at a target, as far as this VM knows. */
-    private int coming(final TargetId target, final TargetResidency residencyAtTarget) {
-        int count = residencyAtTarget.pending().size();
+    /** Returns the adapters that are requested or being loaded at a target, as far as this VM knows. */
+    private List<AdapterKey> coming(final TargetId target, final TargetResidency residencyAtTarget) {
+        final List<AdapterKey> coming = new ArrayList<>(residencyAtTarget.pending());
         for (final AdapterKey each : usages.adapters(target)) {
             if (!residencyAtTarget.pending().contains(each)
                     && !residencyAtTarget.adapters().containsKey(each)) {
-                count++;
+                coming.add(each);
             }
         }
-        return count;
+        return coming;
     }
 
     private boolean hasLatestVersion(final TargetResidency residencyAtTarget, final AdapterKey adapter) {
@@ -201,12 +211,20 @@
         return version.isPresent() && version.getAsLong() >= residency.latestVersion(adapter);
     }
 
-    private boolean hasFreeSlot(final TargetId target, final TargetResidency residencyAtTarget, final EngineSpec spec) {
-        if (residencyAtTarget.adapters().size() + coming(target, residencyAtTarget) < spec.adapterSlots()) {
+    private boolean hasRoom(
+            final TargetAnnouncement target,
+            final AdapterKey adapter,
+            final TargetResidency residencyAtTarget,
+            final EngineSpec spec) {
+        final TargetOccupancy occupancy = new TargetOccupancy(spec, residency.models(target));
+        residencyAtTarget.adapters().keySet().forEach(occupancy::add);
+        coming(target.id(), residencyAtTarget).forEach(occupancy::add);
+        if (occupancy.fits(adapter)) {
             return true;
         }
         for (final AdapterKey each : residencyAtTarget.adapters().keySet()) {
-            if (!inFlight.inUse(target, each) && !usages.adapters(target).contains(each)) {
+            if (!inFlight.inUse(target.id(), each)
+                    && !usages.adapters(target.id()).contains(each)) {
                 return true;
             }
         }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/LeastCostEnginePolicy.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/LeastCostEnginePolicy.java
@@ -38,7 +38,7 @@
         Optional<TargetChoice> best = Optional.empty();
         for (int rank = 0; rank < ordered.size(); rank++) {
             final TargetAnnouncement target = ordered.get(rank).announcement();
-            if (estimate.hasModel(required, target)) {
+            if (estimate.canServe(required, target, spec)) {
                 best = CandidateSelection.cheaper(
                         best, Optional.of(estimate.of(required, target, spec, rank == 0, LoadForecast.NONE)));
             }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReportedEnginePolicy.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/choice/ReportedEnginePolicy.java
@@ -66,7 +66,7 @@
         final List<TargetState> resident = new ArrayList<>();
         for (final TargetState state : candidates) {
             final TargetAnnouncement target = state.announcement();
-            if (!estimate.hasModel(required, target)) {
+            if (!estimate.canServe(required, target, spec)) {
                 continue;
             }
             if (estimate.resident(required, target) || estimate.expected(required, target)) {
@@ -95,7 +95,7 @@
     private Optional<TargetChoice> of(
             final TargetRequirements required, final TargetState state, final EngineSpec spec, final boolean home) {
         final TargetAnnouncement target = state.announcement();
-        if (!estimate.hasModel(required, target)) {
+        if (!estimate.canServe(required, target, spec)) {
             return Optional.empty();
         }
         return Optional.of(estimate.of(required, target, spec, home, LoadForecast.of(loads.of(target.id()))));
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.balsambank.core.id.BaseModel;
+import org.balsambank.core.serving.plan.EngineSpec;
 
 /**
  * The adapters and base models at one target since its start, exact as of the number of orders that the target has
@@ -17,7 +19,8 @@
  * carries the number of accepted orders on which it is based, so the target rejects a delayed one once it has accepted
  * another. After an order without a response, only that order is sent again. After a rejection because of the number,
  * nothing is sent until a status report has confirmed the number. Invariant: whenever an order is executed, the loaded,
- * pending and unloading adapters together fit into the adapter slots. Confined to the decision loop.
+ * pending and unloading adapters together fit into the adapter slots and, beside the base models, into the memory of
+ * the target. Confined to the decision loop.
  */
 final class AdapterSlotLedger {
     private final Set<BaseModel> models = new HashSet<>();
@@ -96,6 +99,21 @@
         return loaded.size() + pending.size() + unloading.size();
     }
 
+    /**
+     * Adds up what the target holds, or would hold without some of its loaded adapters.
+     *
+     * @param spec the capacity of the target
+     * @param evicted which loaded adapters are left out
+     * @return the base models and all other adapters, as {@link #occupiedSlots()} counts them
+     */
+    TargetOccupancy occupancyWithout(final EngineSpec spec, final Predicate<AdapterKey> evicted) {
+        final TargetOccupancy occupancy = new TargetOccupancy(spec, models);
+        loaded.keySet().stream().filter(evicted.negate()).forEach(occupancy::add);
+        pending.keySet().forEach(occupancy::add);
+        unloading.forEach(occupancy::add);
+        return occupancy;
+    }
+
     /**
      * Records the response to an order for an adapter.
      *
@@ -136,6 +154,15 @@
         }
     }
 
+    /**
+     * Gives up an order without a response instead of sending it again. The target may still execute it, until it has
+     * accepted another one.
+     */
+    void abandonUnanswered() {
+        unanswered = Optional.empty();
+        confirmed = false;
+    }
+
     /** Records that the target has counted another number of orders than expected. */
     private void recordConflict() {
         if (sequenceMayBeLower) {
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/ResidencyTable.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/ResidencyTable.java
@@ -1,5 +1,6 @@
 package org.balsambank.core.serving.placement;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -121,11 +122,18 @@
      * @return true according to the latest report, or to the announcement if none names base models
      */
     public boolean hasModel(final TargetAnnouncement announcement, final BaseModel model) {
+        return models(announcement).contains(model);
+    }
+
+    /**
+     * Returns the base models that are loaded at a target.
+     *
+     * @param announcement the announcement of the target
+     * @return the models according to the latest report, or to the announcement if none names base models
+     */
+    public Collection<BaseModel> models(final TargetAnnouncement announcement) {
         final TargetResidency known = reports.get(announcement.id());
-        if (known != null && !known.models().isEmpty()) {
-            return known.models().contains(model);
-        }
-        return announcement.models().contains(model);
+        return known != null && !known.models().isEmpty() ? known.models() : announcement.models();
     }
 
     /**
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
@@ -148,6 +148,10 @@
                 emitter.onSuccess(ResidencyResult.unavailable(UNRESPONSIVE));
                 return;
             }
+            if (neverFits(adapter)) {
+                emitter.onSuccess(ResidencyResult.unavailable("no room beside the base model"));
+                return;
+            }
             if (demands.size() >= MAX_DEMANDED_ADAPTERS) {
                 emitter.onSuccess(ResidencyResult.unavailable("too many wishes"));
                 return;
@@ -158,6 +162,15 @@
         });
     }
 
+    /** Returns whether the target has no room for an adapter even without its other adapters. */
+    private boolean neverFits(final AdapterKey adapter) {
+        return ledger.models().contains(adapter.model())
+                && engineSpec
+                        .get()
+                        .filter(spec -> !new TargetOccupancy(spec, ledger.models()).fits(adapter))
+                        .isPresent();
+    }
+
     /**
      * Returns whether {@link #step()} has to be called again within milliseconds.
      *
@@ -201,7 +214,7 @@
 
     private Optional<Order> nextOrder(final EngineSpec spec) {
         if (ledger.unanswered().isPresent()) {
-            return ledger.unanswered();
+            return unansweredOrder(spec);
         }
         for (final Map.Entry<AdapterKey, AdapterDemand> demand : demands.entrySet()) {
             final AdapterKey adapter = demand.getKey();
@@ -211,10 +224,13 @@
             if (ledger.pending().size() >= MAX_PARALLEL_LOADS) {
                 return Optional.empty();
             }
-            if (ledger.occupiedSlots() < spec.adapterSlots()) {
+            if (occupancy(spec).fits(adapter)) {
                 evictingFor = evictingFor.filter(other -> !other.equals(adapter));
                 return Optional.of(load(adapter, demand.getValue().version()));
             }
+            if (!ledger.occupancyWithout(spec, loaded -> !inUse(loaded)).fits(adapter)) {
+                continue;
+            }
             final Optional<AdapterKey> victim = EvictionPolicy.victim(ledger.loaded(), this::inUse, this::lastUse);
             if (victim.isPresent()) {
                 evictingFor = Optional.of(adapter);
@@ -224,6 +240,19 @@
         return Optional.empty();
     }
 
+    /** Returns the order to be sent again, unless the plan has changed since and the target has no room for it. */
+    private Optional<Order> unansweredOrder(final EngineSpec spec) {
+        final Order order = ledger.unanswered().orElseThrow();
+        final boolean fits =
+                !order.load() || occupancy(spec).fits(order.adapter().orElseThrow());
+        if (!fits) {
+            ledger.abandonUnanswered();
+            nextStatusNanos = lastResultNanos + STATUS_LAG.toNanos();
+            return Optional.empty();
+        }
+        return ledger.unanswered();
+    }
+
     private boolean inUse(final AdapterKey adapter) {
         return inFlight.inUse(target.id(), adapter)
                 || timer.nanoTime() - lastUse(adapter) < MIN_RESIDENCY_AFTER_USE.toNanos();
@@ -407,14 +436,20 @@
 
     private Optional<ModelSpec> modelToLoad(final EngineSpec spec) {
         for (final AdapterKey adapter : demands.keySet()) {
-            final Optional<ModelSpec> demanded = spec.model(adapter.model());
+            final Optional<ModelSpec> demanded = spec.model(adapter.model()).filter(model -> fits(spec, model));
             if (demanded.isPresent()) {
                 return demanded;
             }
         }
-        return spec.models().isEmpty()
-                ? Optional.empty()
-                : Optional.of(spec.models().get(0));
+        return spec.models().stream().filter(model -> fits(spec, model)).findFirst();
+    }
+
+    private TargetOccupancy occupancy(final EngineSpec spec) {
+        return ledger.occupancyWithout(spec, evicted -> false);
+    }
+
+    private boolean fits(final EngineSpec spec, final ModelSpec model) {
+        return occupancy(spec).fits(model.model());
     }
 
     private void readStatus() {
@@ -533,7 +568,19 @@
                 .with("fence", order.fence())
                 .with("sequence", order.expectedSequence().orElse(-1))
                 .with("taken", ledger.occupiedSlots())
+                .with("taken_bytes", takenBytes())
+                .with(
+                        "room_bytes",
+                        engineSpec
+                                .get()
+                                .map(spec -> spec.weightsMemory().bytes())
+                                .orElse(0L))
                 .with("outcome", result.name())
                 .write();
     }
+
+    /** Returns the memory that all weights take, as far as the plan names their sizes. */
+    private long takenBytes() {
+        return engineSpec.get().map(spec -> occupancy(spec).memory().bytes()).orElse(0L);
+    }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/plan/EngineSpec.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/plan/EngineSpec.java
@@ -13,7 +13,7 @@
  * @param slots the requests that run concurrently
  * @param tokenCapacity the tokens that fit into memory, 0 if unknown
  * @param adapterSlots the adapters that can be resident at once
- * @param weightsMegabytes the memory for model weights
+ * @param weightsMemory the memory for the weights of models and adapters together, zero if unknown
  * @param loadsPerSecond the base model loads per second that the weight store supports over all targets
  * @param models the base models
  */
@@ -21,7 +21,7 @@
         int slots,
         long tokenCapacity,
         int adapterSlots,
-        double weightsMegabytes,
+        MemorySize weightsMemory,
         double loadsPerSecond,
         List<ModelSpec> models) {
     /** Copies the models. */
@@ -36,6 +36,11 @@
      * @return its description, if the service has it
      */
     public Optional<ModelSpec> model(final BaseModel model) {
-        return models.stream().filter(each -> each.model().equals(model)).findFirst();
+        for (final ModelSpec each : models) {
+            if (each.model().equals(model)) {
+                return Optional.of(each);
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/plan/ModelSpec.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/plan/ModelSpec.java
@@ -8,7 +8,8 @@
  * <p>Immutable and thread-safe.
  *
  * @param model the model
- * @param weightsMegabytes the memory that its weights need
+ * @param weights the memory that its weights need
+ * @param adapterWeights the memory that the weights of each of its adapters need
  * @param loadMillis how long a load from the weight store takes without concurrent loads
  */
-public record ModelSpec(BaseModel model, double weightsMegabytes, long loadMillis) {}
+public record ModelSpec(BaseModel model, MemorySize weights, MemorySize adapterWeights, long loadMillis) {}
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/ServingFleetTest.java
@@ -77,7 +77,7 @@
             fleet.advance(2_000);
             assertEquals(10, fleet.attempts.size() - before, "after " + (killed + 1) + " kills");
         }
-        fleet.targets.values().forEach(target -> assertEquals(0, target.slotOverflows()));
+        fleet.targets.values().forEach(target -> assertEquals(0, target.overflows()));
     }
 
     @Test
@@ -128,7 +128,7 @@
             fleet.store.cutOff(TestFleet.vm(vm), true);
         }
         fleet.advance(12_000);
-        fleet.targets.values().forEach(target -> assertEquals(0, target.slotOverflows()));
+        fleet.targets.values().forEach(target -> assertEquals(0, target.overflows()));
         assertTrue(fleet.vms.keySet().stream()
                 .filter(vm -> !vm.equals(TestFleet.vm(0)))
                 .noneMatch(this::controlsTargets));
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/TestFleet.java
@@ -43,6 +43,7 @@
 import org.balsambank.core.serving.placement.TargetStatus;
 import org.balsambank.core.serving.plan.CallerBounds;
 import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.plan.MemorySize;
 import org.balsambank.core.serving.plan.ModelSpec;
 import org.balsambank.core.serving.plan.RepeatPolicy;
 import org.balsambank.core.serving.plan.Route;
@@ -80,6 +81,7 @@
     final Map<VmId, Long> vmSkewMillis = new HashMap<>();
     final FakeDutyApi dutyApi = new FakeDutyApi(clock);
     private int uniqueRequests;
+    private double adapterMegabytes = 10;
 
     private final Optional<DutySettings> duties;
 
@@ -142,12 +144,21 @@
         });
     }
 
+    /** Sets the memory that an adapter takes in plans written from now on; a target has 100 MB for all of them. */
+    void setAdapterMegabytes(final double megabytes) {
+        adapterMegabytes = megabytes;
+    }
+
     void writePlan(final long version, final List<String> keys, final double tokensPerSecond) {
-        final EngineSpec spec =
-                new EngineSpec(64, 100_000, ADAPTER_SLOTS, 1_000, 4, List.of(new ModelSpec(MODEL, 900, 1_000)));
+        targets.values().forEach(target -> target.setSpec(engineSpec()));
         final List<ServiceSpec> services = List.of(
                 new ServiceSpec(
-                        ENGINES, 0, 3_000, 8, Optional.of(spec), duties.map(each -> new ScalingSpec(2, 9, 8_000))),
+                        ENGINES,
+                        0,
+                        3_000,
+                        8,
+                        Optional.of(engineSpec()),
+                        duties.map(each -> new ScalingSpec(2, 9, 8_000))),
                 new ServiceSpec(PLAIN, 0, 0, 0, Optional.empty()));
         final List<Route> routes = List.of(
                 route("/stream/", RepeatPolicy.STREAM, ENGINES, 1, false),
@@ -166,6 +177,16 @@
                         new ServingPlan(version, routes, services, List.of(team), CallerBounds.DEFAULT)));
     }
 
+    private EngineSpec engineSpec() {
+        return new EngineSpec(
+                64,
+                100_000,
+                ADAPTER_SLOTS,
+                MemorySize.available(1_000),
+                4,
+                List.of(new ModelSpec(MODEL, MemorySize.needed(900), MemorySize.needed(adapterMegabytes), 1_000)));
+    }
+
     private static Route route(
             final String path,
             final RepeatPolicy repeatPolicy,
@@ -222,7 +243,9 @@
     void announce(final TargetAnnouncement announcement) {
         final TargetAnnouncement previous = announcements.put(announcement.id(), announcement);
         if (previous == null || previous.startedMillis() != announcement.startedMillis()) {
-            targets.put(announcement.id(), new FakeTarget(clock, announcement.port(), ADAPTER_SLOTS, MODEL));
+            final FakeTarget target = new FakeTarget(clock, announcement.port(), ADAPTER_SLOTS, MODEL);
+            target.setSpec(engineSpec());
+            targets.put(announcement.id(), target);
         }
         writeEntry(
                 "target/" + announcement.id(),
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/choice/QueueModel.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/choice/QueueModel.java
@@ -29,6 +29,7 @@
 import org.balsambank.core.serving.load.ServerLoad;
 import org.balsambank.core.serving.placement.ResidencyTable;
 import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.plan.MemorySize;
 import org.balsambank.core.serving.plan.ServiceSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
@@ -118,7 +119,9 @@
                 0,
                 0,
                 0,
-                engines ? Optional.of(new EngineSpec(ENGINE_SLOTS, 0, 6, 0, 0, List.of())) : Optional.empty());
+                engines
+                        ? Optional.of(new EngineSpec(ENGINE_SLOTS, 0, 6, MemorySize.ZERO, 0, List.of()))
+                        : Optional.empty());
         final FleetView fleet = new Fleet(vmCount);
         permits = new SendPermits(new TargetLimits(table, timer, DecisionLog.NONE), fleet, timer);
         filter = new CandidateFilter(
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/choice/ReportedEnginePolicyTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/choice/ReportedEnginePolicyTest.java
@@ -24,6 +24,7 @@
 import org.balsambank.core.serving.placement.ResidencyTable;
 import org.balsambank.core.serving.placement.TargetResidency;
 import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.plan.MemorySize;
 import org.balsambank.core.serving.plan.ServiceSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
@@ -52,7 +53,7 @@
     private final InFlightRequests inFlight = new InFlightRequests();
     private final AdapterWaits waits = new AdapterWaits(timer);
     private final ServiceSpec spec =
-            new ServiceSpec(SERVICE, 0, 0, 0, Optional.of(new EngineSpec(64, 0, 6, 0, 0, List.of())));
+            new ServiceSpec(SERVICE, 0, 0, 0, Optional.of(new EngineSpec(64, 0, 6, MemorySize.ZERO, 0, List.of())));
     private final ReportedEnginePolicy policy = new ReportedEnginePolicy(
             new EngineEstimate(
                     UsageView.of(inFlight),
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -16,14 +17,15 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import org.balsambank.core.id.BaseModel;
+import org.balsambank.core.serving.plan.EngineSpec;
 import org.balsambank.core.serving.target.TargetAnnouncement;
 
 /**
  * A fake target that executes orders and reports its status with a lag. Some orders get no response and are executed
  * late; some loads that are asked for again, and some reports, are answered by a copy of the response before.
  *
- * <p>Confined to one thread. Counts each time that its adapters exceed its adapter slots, at which a real target would
- * crash.
+ * <p>Confined to one thread. Counts each time that its adapters exceed its adapter slots, or that the weights of its
+ * models and adapters exceed its memory, at which a real target would crash.
  */
 public final class FakeTarget implements TargetOrderClient {
     private static final long STATUS_LAG_MILLIS = 200;
@@ -38,6 +40,7 @@
     private final Set<BaseModel> models = new HashSet<>();
     private final Deque<TimedStatus> history = new ArrayDeque<>();
     private final Map<Order, Boolean> accepted = new HashMap<>();
+    private Optional<EngineSpec> spec = Optional.empty();
     private Optional<TargetStatus> lastReport = Optional.empty();
     private double delayedShare;
     private double copiedShare;
@@ -45,7 +48,7 @@
     private long responseTimeoutMillis = 500;
     private long sequence;
     private long fence;
-    private int slotOverflows;
+    private int overflows;
     private int orderCount;
     private int loadCount;
 
@@ -77,6 +80,22 @@
         silent = newSilent;
     }
 
+    /** Sets the memory of the target and what models and adapters take of it. */
+    public void setSpec(final EngineSpec newSpec) {
+        spec = Optional.of(newSpec);
+    }
+
+    /** Loses all models and adapters, as at a restart. */
+    public void restartEmpty() {
+        sequence = 0;
+        models.clear();
+        pending.clear();
+        resident.clear();
+        accepted.clear();
+        history.clear();
+        recordStatus();
+    }
+
     /** Drops an adapter, loaded or not, as if another holder had ordered it. */
     public void drop(final AdapterKey adapter) {
         sequence++;
@@ -86,8 +105,8 @@
     }
 
     /** Returns how often an order would have crashed a real target. */
-    public int slotOverflows() {
-        return slotOverflows;
+    public int overflows() {
+        return overflows;
     }
 
     public int orderCount() {
@@ -99,6 +118,10 @@
         return loadCount;
     }
 
+    public Set<BaseModel> models() {
+        return models;
+    }
+
     public Set<AdapterKey> resident() {
         return resident.keySet();
     }
@@ -171,11 +194,21 @@
         }
         final Optional<AdapterKey> adapter = order.adapter();
         if (adapter.isEmpty()) {
-            return models.add(order.model()) ? OrderResult.ACCEPTED : OrderResult.HOLDS;
+            return loadModel(order.model());
         }
         return order.load() ? load(adapter.get(), order.version()) : unload(adapter.get());
     }
 
+    private OrderResult loadModel(final BaseModel model) {
+        if (!models.add(model)) {
+            return OrderResult.HOLDS;
+        }
+        sequence++;
+        countOverflow();
+        recordStatus();
+        return OrderResult.ACCEPTED;
+    }
+
     private OrderResult load(final AdapterKey adapter, final long version) {
         final Long known = resident.get(adapter);
         if (known != null && known >= version) {
@@ -190,14 +223,35 @@
         sequence++;
         loadCount++;
         pending.add(adapter);
-        if (resident.size() + pending.size() > slots) {
-            slotOverflows++;
-        }
+        countOverflow();
         clock.scheduleDirect(() -> loaded(adapter, version), LOAD_MILLIS, TimeUnit.MILLISECONDS);
         recordStatus();
         return OrderResult.ACCEPTED;
     }
 
+    private void countOverflow() {
+        if (resident.size() + pending.size() > slots
+                || spec.filter(this::exceeded).isPresent()) {
+            overflows++;
+        }
+    }
+
+    private boolean exceeded(final EngineSpec limits) {
+        long takenBytes = 0;
+        for (final BaseModel model : models) {
+            takenBytes += limits.model(model).orElseThrow().weights().bytes();
+        }
+        for (final Set<AdapterKey> adapters : List.of(resident.keySet(), pending)) {
+            for (final AdapterKey adapter : adapters) {
+                takenBytes += limits.model(adapter.model())
+                        .orElseThrow()
+                        .adapterWeights()
+                        .bytes();
+            }
+        }
+        return takenBytes > limits.weightsMemory().bytes();
+    }
+
     private void loaded(final AdapterKey adapter, final long version) {
         if (!pending.remove(adapter)) {
             return;
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,9 +13,9 @@
 import org.balsambank.core.id.FailureDomain;
 import org.balsambank.core.id.ServiceName;
 import org.balsambank.core.id.TargetId;
-import org.balsambank.core.id.VmId;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.plan.EngineSpec;
+import org.balsambank.core.serving.plan.MemorySize;
 import org.balsambank.core.serving.plan.ModelSpec;
 import org.balsambank.core.serving.target.InFlightRequests;
 import org.balsambank.core.serving.target.TargetAnnouncement;
@@ -50,7 +49,7 @@
         assertEquals(
                 2 * ADAPTER_SLOTS,
                 results.stream().filter(ResidencyResult::resident).count());
-        assertEquals(0, target.slotOverflows());
+        assertEquals(0, target.overflows());
     }
 
     @Test
@@ -95,7 +94,7 @@
                 ensure(controller, random.nextInt(25), random.nextInt(8) == 0 ? 1 + i / 20 : 0, 1_500);
                 run(target, controller, 1 + random.nextInt(30));
             }
-            assertEquals(0, target.slotOverflows(), "seed " + seed);
+            assertEquals(0, target.overflows(), "seed " + seed);
         }
         assertTrue(results.stream().anyMatch(ResidencyResult::resident));
     }
@@ -116,7 +115,7 @@
                     target.drop(adapter(random.nextInt(25)));
                 }
             }
-            assertEquals(0, target.slotOverflows(), "seed " + seed);
+            assertEquals(0, target.overflows(), "seed " + seed);
         }
         assertTrue(results.stream().anyMatch(ResidencyResult::resident));
     }
@@ -193,7 +192,7 @@
                 run(target, controller, 16);
             }
             run(target, controller, 80);
-            assertEquals(0, target.slotOverflows(), "seed " + seed);
+            assertEquals(0, target.overflows(), "seed " + seed);
         }
         final long resident = results.stream().filter(ResidencyResult::resident).count();
         assertTrue(resident >= 0.6 * results.size(), resident + " of " + results.size());
@@ -230,11 +229,16 @@
                 1,
                 List.of(MODEL),
                 Map.of());
-        final EngineSpec engineSpec =
-                new EngineSpec(64, 100_000, ADAPTER_SLOTS, 1_000, 4, List.of(new ModelSpec(MODEL, 900, 1_000)));
+        final EngineSpec engineSpec = new EngineSpec(
+                64,
+                100_000,
+                ADAPTER_SLOTS,
+                MemorySize.available(1_000),
+                4,
+                List.of(new ModelSpec(MODEL, MemorySize.needed(900), MemorySize.needed(10), 1_000)));
         return new TargetController(
                 announcement,
-                new PermanentClaim(),
+                new PermanentClaim(5),
                 () -> Optional.of(engineSpec),
                 target,
                 inFlight,
@@ -242,29 +246,4 @@
                 SchedulerTimerService.ofVirtual(clock),
                 DecisionLog.NONE);
     }
-
-    /** A claim that stays valid until it is marked as lost. */
-    private static final class PermanentClaim implements HeldClaim {
-        private final HashSet<String> lost = new HashSet<>();
-
-        @Override
-        public boolean valid() {
-            return lost.isEmpty();
-        }
-
-        @Override
-        public long fence() {
-            return 5;
-        }
-
-        @Override
-        public VmId holder() {
-            return new VmId("vm");
-        }
-
-        @Override
-        public void markLost() {
-            lost.add("lost");
-        }
-    }
 }
