Tie the order for a base model to the number of accepted orders

Cause: the order for a base model carried no ExpectedRevision, and after one without a response the controller ordered the model that the next request named. The target executed both.

Change: the order carries the number of accepted orders; one without a response is sent again before any other, an accepted one until the target holds the model. A late order is rejected by its number then, also after the claim has changed hands.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
@@ -27,6 +27,7 @@
     private final Map<AdapterKey, Long> loaded = new HashMap<>();
     private final Map<AdapterKey, Long> pending = new LinkedHashMap<>();
     private final Set<AdapterKey> unloading = new HashSet<>();
+    private Optional<BaseModel> modelBeingLoaded = Optional.empty();
     private long sequence;
     private boolean confirmed;
     private boolean sequenceMayBeLower;
@@ -71,6 +72,15 @@
         return models;
     }
 
+    /**
+     * Returns the base model being loaded. No other one may be ordered meanwhile.
+     *
+     * @return the base model, if a load was accepted and its end is not known
+     */
+    Optional<BaseModel> modelBeingLoaded() {
+        return modelBeingLoaded;
+    }
+
     /**
      * Returns the loaded adapters.
      *
@@ -225,6 +235,9 @@
         sequence = status.sequence();
         models.clear();
         models.addAll(status.models());
+        if (!status.busy() || !models.isEmpty()) {
+            modelBeingLoaded = Optional.empty();
+        }
         loaded.clear();
         loaded.putAll(status.adapters());
         pending.clear();
@@ -248,9 +261,26 @@
         return true;
     }
 
-    /** Records that a base model is loaded. */
-    void modelLoaded(final BaseModel model) {
-        models.add(model);
-        confirmed = false;
+    /**
+     * Records the response to an order to load a base model.
+     *
+     * @param order the order
+     * @param result the response
+     */
+    void recordModelResult(final Order order, final OrderResult result) {
+        switch (result) {
+            case ACCEPTED -> {
+                unanswered = Optional.empty();
+                modelBeingLoaded = Optional.of(order.model());
+                sequence++;
+            }
+            case HOLDS -> {
+                models.add(order.model());
+                confirmed = false;
+            }
+            case UNKNOWN -> unanswered = Optional.of(order);
+            case REFUSED -> {}
+            default -> confirmed = false;
+        }
     }
 }
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
@@ -12,8 +12,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.reactivex.rxjava3.core.Single;
+import org.balsambank.core.id.BaseModel;
 import org.balsambank.core.log.DecisionLog;
 import org.balsambank.core.serving.plan.EngineSpec;
 import org.balsambank.core.serving.plan.ModelSpec;
@@ -243,9 +245,7 @@
     /** Returns the order to be sent again, unless the plan has changed since and the target has no room for it. */
     private Optional<Order> unansweredOrder(final EngineSpec spec) {
         final Order order = ledger.unanswered().orElseThrow();
-        final boolean fits =
-                !order.load() || occupancy(spec).fits(order.adapter().orElseThrow());
-        if (!fits) {
+        if (order.load() && !fits(order, occupancy(spec))) {
             ledger.abandonUnanswered();
             nextStatusNanos = lastResultNanos + STATUS_LAG.toNanos();
             return Optional.empty();
@@ -253,6 +253,10 @@
         return ledger.unanswered();
     }
 
+    private static boolean fits(final Order order, final TargetOccupancy occupancy) {
+        return order.adapter().isPresent() ? occupancy.fits(order.adapter().get()) : occupancy.fits(order.model());
+    }
+
     private boolean inUse(final AdapterKey adapter) {
         return inFlight.inUse(target.id(), adapter)
                 || timer.nanoTime() - lastUse(adapter) < MIN_RESIDENCY_AFTER_USE.toNanos();
@@ -413,45 +417,51 @@
     }
 
     private void loadModel(final EngineSpec spec, final long now) {
-        final Optional<ModelSpec> model = modelToLoad(spec);
-        if (now - nextModelLoadNanos < 0 || model.isEmpty()) {
+        if (now - nextModelLoadNanos < 0) {
             return;
         }
-        nextModelLoadNanos = now + MODEL_LOAD_RETRY_DELAY.toNanos();
-        final Order order = new Order(
-                true, model.get().model(), Optional.empty(), 0, claim.holder(), claim.fence(), OptionalLong.empty());
+        final Optional<Order> next = ledger.unanswered().isPresent()
+                ? unansweredOrder(spec)
+                : ledger.modelBeingLoaded().or(() -> modelToLoad(spec)).map(this::load);
+        if (next.isPresent()) {
+            nextModelLoadNanos = now + MODEL_LOAD_RETRY_DELAY.toNanos();
+            sendModelLoad(next.get());
+        }
+    }
+
+    private Order load(final BaseModel model) {
+        return new Order(
+                true, model, Optional.empty(), 0, claim.holder(), claim.fence(), OptionalLong.of(ledger.sequence()));
+    }
+
+    private void sendModelLoad(final Order order) {
         orderInProgress = true;
         orderClient.send(target, order).subscribe(result -> {
             orderInProgress = false;
             lastResultNanos = timer.nanoTime();
             logOrder(order, result);
+            ledger.recordModelResult(order, result);
             if (result == OrderResult.FENCED) {
                 claim.markLost();
-            } else if (result == OrderResult.HOLDS) {
-                ledger.modelLoaded(model.get().model());
+            } else if (!ledger.confirmed()) {
                 nextStatusNanos = lastResultNanos + STATUS_LAG.toNanos();
             }
         });
     }
 
-    private Optional<ModelSpec> modelToLoad(final EngineSpec spec) {
-        for (final AdapterKey adapter : demands.keySet()) {
-            final Optional<ModelSpec> demanded = spec.model(adapter.model()).filter(model -> fits(spec, model));
-            if (demanded.isPresent()) {
-                return demanded;
-            }
-        }
-        return spec.models().stream().filter(model -> fits(spec, model)).findFirst();
+    private Optional<BaseModel> modelToLoad(final EngineSpec spec) {
+        return Stream.concat(
+                        demands.keySet().stream().map(AdapterKey::model),
+                        spec.models().stream().map(ModelSpec::model))
+                .filter(model ->
+                        spec.model(model).isPresent() && occupancy(spec).fits(model))
+                .findFirst();
     }
 
     private TargetOccupancy occupancy(final EngineSpec spec) {
         return ledger.occupancyWithout(spec, evicted -> false);
     }
 
-    private boolean fits(final EngineSpec spec, final ModelSpec model) {
-        return occupancy(spec).fits(model.model());
-    }
-
     private void readStatus() {
         readingStatus = true;
         final long requestedNanos = timer.nanoTime();
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
@@ -30,6 +30,7 @@
 public final class FakeTarget implements TargetOrderClient {
     private static final long STATUS_LAG_MILLIS = 200;
     private static final long LOAD_MILLIS = 250;
+    private static final long MODEL_LOAD_MILLIS = 700;
     private static final int MAX_PARALLEL_LOADS = 4;
 
     private final TestScheduler clock;
@@ -41,6 +42,7 @@
     private final Deque<TimedStatus> history = new ArrayDeque<>();
     private final Map<Order, Boolean> accepted = new HashMap<>();
     private Optional<EngineSpec> spec = Optional.empty();
+    private Optional<BaseModel> modelBeingLoaded = Optional.empty();
     private Optional<TargetStatus> lastReport = Optional.empty();
     private double delayedShare;
     private double copiedShare;
@@ -189,7 +191,9 @@
             return OrderResult.FENCED;
         }
         fence = order.fence();
-        if (order.expectedSequence().isPresent() && order.expectedSequence().getAsLong() != sequence) {
+        final boolean overtaken =
+                order.expectedSequence().isPresent() && order.expectedSequence().getAsLong() != sequence;
+        if (overtaken || modelBeingLoaded.isPresent()) {
             return OrderResult.BUSY;
         }
         final Optional<AdapterKey> adapter = order.adapter();
@@ -200,15 +204,23 @@
     }
 
     private OrderResult loadModel(final BaseModel model) {
-        if (!models.add(model)) {
+        if (models.contains(model)) {
             return OrderResult.HOLDS;
         }
         sequence++;
+        modelBeingLoaded = Optional.of(model);
         countOverflow();
+        clock.scheduleDirect(() -> modelLoaded(model), MODEL_LOAD_MILLIS, TimeUnit.MILLISECONDS);
         recordStatus();
         return OrderResult.ACCEPTED;
     }
 
+    private void modelLoaded(final BaseModel model) {
+        modelBeingLoaded = Optional.empty();
+        models.add(model);
+        recordStatus();
+    }
+
     private OrderResult load(final AdapterKey adapter, final long version) {
         final Long known = resident.get(adapter);
         if (known != null && known >= version) {
@@ -238,7 +250,9 @@
 
     private boolean exceeded(final EngineSpec limits) {
         long takenBytes = 0;
-        for (final BaseModel model : models) {
+        final Set<BaseModel> ordered = new HashSet<>(models);
+        modelBeingLoaded.ifPresent(ordered::add);
+        for (final BaseModel model : ordered) {
             takenBytes += limits.model(model).orElseThrow().weights().bytes();
         }
         for (final Set<AdapterKey> adapters : List.of(resident.keySet(), pending)) {
@@ -270,7 +284,7 @@
     private void recordStatus() {
         history.addLast(new TimedStatus(
                 clock.now(TimeUnit.MILLISECONDS),
-                new TargetStatus(models, resident, pending, sequence, false, 0, 0, 0)));
+                new TargetStatus(models, resident, pending, sequence, modelBeingLoaded.isPresent(), 0, 0, 0)));
     }
 
     private TargetStatus laggingStatus() {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetMemoryTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetMemoryTest.java
@@ -147,16 +147,8 @@
     // Guards against LIMIT: an empty target is ordered to load a base model that is larger than its memory.
     @Test
     void baseModelThatDoesNotFitIsNotOrdered() {
-        final EngineSpec spec = new EngineSpec(
-                64,
-                100_000,
-                ADAPTER_SLOTS,
-                MemorySize.available(500),
-                4,
-                List.of(model(MODEL, MODEL_MEGABYTES, 66), model(OTHER_MODEL, 400, 66)));
-        final FakeTarget target = new FakeTarget(clock, 1, ADAPTER_SLOTS, MODEL);
-        target.setSpec(spec);
-        target.restartEmpty();
+        final EngineSpec spec = spec(500, List.of(model(MODEL, MODEL_MEGABYTES, 66), model(OTHER_MODEL, 400, 66)));
+        final FakeTarget target = emptyTarget(1, spec);
         final TargetController controller = controller(target, spec, 5);
         ensure(controller, 1, 0);
         run(target, controller, 200);
@@ -164,17 +156,50 @@
         assertEquals(0, target.overflows());
     }
 
+    // Guards against LIMIT: the order for a base model gets no response, another model is ordered instead, and the
+    // target
+    // executes both.
+    @Test
+    void delayedOrdersNeverLoadTwoBaseModelsWhereOneFits() {
+        final EngineSpec spec = spec(500, List.of(model(MODEL, 400, 10), model(OTHER_MODEL, 400, 10)));
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final SplittableRandom random = new SplittableRandom(seed);
+            final FakeTarget target = emptyTarget(seed, spec);
+            target.delayOrders(0.6);
+            for (int holder = 0; holder < 4; holder++) {
+                final TargetController controller = controller(target, spec, 5 + holder);
+                for (int i = 0; i < 10; i++) {
+                    ensure(controller, random.nextBoolean() ? MODEL : OTHER_MODEL, i, 0, 1_000);
+                    run(target, controller, 1 + random.nextInt(40));
+                }
+            }
+            target.delayOrders(0);
+            run(target, controller(target, spec, 9), 600);
+            assertEquals(0, target.overflows(), "seed " + seed);
+            assertEquals(1, target.models().size(), "seed " + seed);
+        }
+    }
+
     private long residentResults() {
         return results.stream().filter(ResidencyResult::resident).count();
     }
 
     private void ensure(final TargetController controller, final int number, final long version) {
+        ensure(controller, MODEL, number, version, LONG_WAIT_MILLIS);
+    }
+
+    private void ensure(
+            final TargetController controller,
+            final BaseModel model,
+            final int number,
+            final long version,
+            final long waitMillis) {
         controller
                 .ensure(
-                        new AdapterKey(MODEL, new AdapterId("a" + number)),
+                        new AdapterKey(model, new AdapterId("a" + number)),
                         version,
                         false,
-                        Duration.ofMillis(LONG_WAIT_MILLIS))
+                        Duration.ofMillis(waitMillis))
                 .subscribe(result -> results.add(result));
     }
 
@@ -190,13 +215,17 @@
     }
 
     private static EngineSpec spec(final double megabytes, final double adapterMegabytes) {
-        return new EngineSpec(
-                64,
-                100_000,
-                ADAPTER_SLOTS,
-                MemorySize.available(megabytes),
-                4,
-                List.of(model(MODEL, MODEL_MEGABYTES, adapterMegabytes)));
+        return spec(megabytes, List.of(model(MODEL, MODEL_MEGABYTES, adapterMegabytes)));
+    }
+
+    private static EngineSpec spec(final double megabytes, final List<ModelSpec> models) {
+        return new EngineSpec(64, 100_000, ADAPTER_SLOTS, MemorySize.available(megabytes), 4, models);
+    }
+
+    private FakeTarget emptyTarget(final long seed, final EngineSpec spec) {
+        final FakeTarget target = target(seed, spec);
+        target.restartEmpty();
+        return target;
     }
 
     private FakeTarget target(final long seed, final EngineSpec spec) {
