Refuse CONNECT on routes, as its success opens a tunnel

By RFC 9110, 9.3.6, a success to CONNECT has no body; the caller takes the bytes, and those of later responses, for a tunnel. CONNECT names an authority and no path, so such a request is malformed: 400, nothing runs.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.protobuf.ByteString;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import net.openhft.hashing.LongHashFunction;
 import org.balsambank.core.error.BalsambankException;
@@ -97,6 +98,9 @@
             final long deadlineNanos,
             final String traceParent)
             throws BalsambankException {
+        if (request.method().equals(HttpMethod.CONNECT)) {
+            throw malformed("a tunnel can't be opened to a path");
+        }
         final String rest = request.path().substring(SERVICES.length());
         final int slash = rest.indexOf('/');
         final String name = slash < 0 ? rest : rest.substring(0, slash);
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
@@ -247,6 +247,15 @@
                         + "x".repeat(BODY_BYTES * 2)));
     }
 
+    // Guards against a success to CONNECT, whose body the caller takes for the bytes of a tunnel.
+    @Test
+    void requestForATunnelIsRefused() throws IOException {
+        assertRefused(
+                ErrorKind.MALFORMED_REQUEST,
+                sendRaw("CONNECT /services/orders/a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+        assertTrue(handled.isEmpty());
+    }
+
     private static String head(final String path, final String fields) {
         return "HEAD " + path + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n";
     }
