Wait for the place of an accepted unload instead of evicting more

Cause: a target that accepts an unload (202) frees the place later. Until a report shows that, the place counts as taken; each further decision saw no free place and evicted one more. Reports were read every 2 s meanwhile.

Evidence: four lines order in a row, unload, ACCEPTED, taken=4; TargetControllerTest.oneAdapterIsEvictedForOneAndLoadedSoonAfterTheUnload: six unloads before, one after.

Change: requests wait for places that accepted unloads will free, as far as those are enough, and a report is read 400 ms after an accepted unload.

After: TargetControllerTest, the other tests of targets and ServingFleetTest pass.

--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/AdapterSlotLedger.java
@@ -110,20 +110,40 @@
     }
 
     /**
-     * Adds up what the target holds, or would hold without some of its loaded adapters.
+     * Adds up what the target holds.
+     *
+     * @param spec the capacity of the target
+     * @return the base models and all adapters, as {@link #occupiedSlots()} counts them
+     */
+    TargetOccupancy occupancy(final EngineSpec spec) {
+        final TargetOccupancy occupancy = occupancyWithout(spec, evicted -> false);
+        unloading.forEach(occupancy::add);
+        return occupancy;
+    }
+
+    /**
+     * Adds up what the target will hold after the accepted unloads, and without some of its loaded adapters.
      *
      * @param spec the capacity of the target
      * @param evicted which loaded adapters are left out
-     * @return the base models and all other adapters, as {@link #occupiedSlots()} counts them
+     * @return the base models and the other loaded and pending adapters
      */
     TargetOccupancy occupancyWithout(final EngineSpec spec, final Predicate<AdapterKey> evicted) {
         final TargetOccupancy occupancy = new TargetOccupancy(spec, models);
         loaded.keySet().stream().filter(evicted.negate()).forEach(occupancy::add);
         pending.keySet().forEach(occupancy::add);
-        unloading.forEach(occupancy::add);
         return occupancy;
     }
 
+    /**
+     * Returns whether a status report is needed to learn which accepted unloads have ended.
+     *
+     * @return true if adapters are being unloaded
+     */
+    boolean hasUnloading() {
+        return !unloading.isEmpty();
+    }
+
     /**
      * Records the response to an order for an adapter.
      *
--- a/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/placement/TargetController.java
@@ -218,6 +218,7 @@
         if (ledger.unanswered().isPresent()) {
             return unansweredOrder(spec);
         }
+        final TargetOccupancy afterUnloads = ledger.occupancyWithout(spec, evicted -> false);
         for (final Map.Entry<AdapterKey, AdapterDemand> demand : demands.entrySet()) {
             final AdapterKey adapter = demand.getKey();
             if (ledger.pending().containsKey(adapter) || !ledger.models().contains(adapter.model())) {
@@ -226,14 +227,15 @@
             if (ledger.pending().size() >= MAX_PARALLEL_LOADS) {
                 return Optional.empty();
             }
-            if (occupancy(spec).fits(adapter)) {
+            if (ledger.occupancy(spec).fits(adapter)) {
                 evictingFor = evictingFor.filter(other -> !other.equals(adapter));
                 return Optional.of(load(adapter, demand.getValue().version()));
             }
-            if (!ledger.occupancyWithout(spec, loaded -> !inUse(loaded)).fits(adapter)) {
+            if (afterUnloads.fits(adapter)) {
+                afterUnloads.add(adapter);
                 continue;
             }
-            final Optional<AdapterKey> victim = EvictionPolicy.victim(ledger.loaded(), this::inUse, this::lastUse);
+            final Optional<AdapterKey> victim = victimFor(adapter, spec);
             if (victim.isPresent()) {
                 evictingFor = Optional.of(adapter);
                 return victim.map(this::unload);
@@ -242,10 +244,17 @@
         return Optional.empty();
     }
 
+    /** Returns the adapter to evict for another one, unless even all evictions would not make room for it. */
+    private Optional<AdapterKey> victimFor(final AdapterKey adapter, final EngineSpec spec) {
+        return ledger.occupancyWithout(spec, loaded -> !inUse(loaded)).fits(adapter)
+                ? EvictionPolicy.victim(ledger.loaded(), this::inUse, this::lastUse)
+                : Optional.empty();
+    }
+
     /** Returns the order to be sent again, unless the plan has changed since and the target has no room for it. */
     private Optional<Order> unansweredOrder(final EngineSpec spec) {
         final Order order = ledger.unanswered().orElseThrow();
-        if (order.load() && !fits(order, occupancy(spec))) {
+        if (order.load() && !fits(order, ledger.occupancy(spec))) {
             ledger.abandonUnanswered();
             nextStatusNanos = lastResultNanos + STATUS_LAG.toNanos();
             return Optional.empty();
@@ -396,7 +405,7 @@
                 }
             }
         }
-        if (!ledger.confirmed()) {
+        if (!ledger.confirmed() || ledger.hasUnloading()) {
             nextStatusNanos = lastResultNanos + STATUS_LAG.toNanos();
         }
     }
@@ -454,14 +463,10 @@
                         demands.keySet().stream().map(AdapterKey::model),
                         spec.models().stream().map(ModelSpec::model))
                 .filter(model ->
-                        spec.model(model).isPresent() && occupancy(spec).fits(model))
+                        spec.model(model).isPresent() && ledger.occupancy(spec).fits(model))
                 .findFirst();
     }
 
-    private TargetOccupancy occupancy(final EngineSpec spec) {
-        return ledger.occupancyWithout(spec, evicted -> false);
-    }
-
     private void readStatus() {
         readingStatus = true;
         final long requestedNanos = timer.nanoTime();
@@ -591,6 +596,9 @@
 
     /** Returns the memory that all weights take, as far as the plan names their sizes. */
     private long takenBytes() {
-        return engineSpec.get().map(spec -> occupancy(spec).memory().bytes()).orElse(0L);
+        return engineSpec
+                .get()
+                .map(spec -> ledger.occupancy(spec).memory().bytes())
+                .orElse(0L);
     }
 }
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/FakeTarget.java
@@ -48,6 +48,8 @@
     private double copiedShare;
     private boolean silent;
     private long responseTimeoutMillis = 500;
+    private long unloadMillis;
+    private int unloadCount;
     private long sequence;
     private long fence;
     private int overflows;
@@ -77,6 +79,11 @@
         responseTimeoutMillis = newTimeoutMillis;
     }
 
+    /** Sets how long an unload waits for the runs of its adapter; 0 for none. */
+    public void setUnloadMillis(final long newUnloadMillis) {
+        unloadMillis = newUnloadMillis;
+    }
+
     /** Sets whether the target responds to nothing. */
     public void setSilent(final boolean newSilent) {
         silent = newSilent;
@@ -115,6 +122,11 @@
         return orderCount;
     }
 
+    /** Returns how many unloads it has accepted. */
+    public int unloadCount() {
+        return unloadCount;
+    }
+
     /** Returns how many loads of adapters it has begun. */
     public int loadCount() {
         return loadCount;
@@ -276,9 +288,19 @@
 
     private OrderResult unload(final AdapterKey adapter) {
         sequence++;
+        unloadCount++;
+        if (unloadMillis > 0) {
+            recordStatus();
+            clock.scheduleDirect(() -> unloaded(adapter), unloadMillis, TimeUnit.MILLISECONDS);
+            return OrderResult.ACCEPTED;
+        }
+        unloaded(adapter);
+        return OrderResult.HOLDS;
+    }
+
+    private void unloaded(final AdapterKey adapter) {
         resident.remove(adapter);
         recordStatus();
-        return OrderResult.HOLDS;
     }
 
     private void recordStatus() {
--- a/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
+++ b/balsambank-core/src/test/java/org/balsambank/core/serving/placement/TargetControllerTest.java
@@ -153,6 +153,29 @@
         assertTrue(target.orderCount() - before <= 12, "orders in 5 s: " + (target.orderCount() - before));
     }
 
+    // Guards against a target that is emptied for one adapter, since the place of an accepted unload is not free at
+    // once,
+    // and against a place that stays unused for seconds after its unload has ended.
+    @Test
+    void oneAdapterIsEvictedForOneAndLoadedSoonAfterTheUnload() {
+        final FakeTarget target = new FakeTarget(clock, 1, ADAPTER_SLOTS, MODEL);
+        final TargetController controller = controller(target);
+        run(target, controller, 40);
+        for (int i = 0; i < ADAPTER_SLOTS; i++) {
+            ensure(controller, i, 0, 10_000);
+            run(target, controller, 60);
+        }
+        target.setUnloadMillis(100);
+        ensure(controller, ADAPTER_SLOTS, 0, 10_000);
+        run(target, controller, 50);
+        assertEquals(1, target.unloadCount());
+        assertEquals(
+                ADAPTER_SLOTS + 1,
+                results.stream().filter(ResidencyResult::resident).count());
+        assertEquals(ADAPTER_SLOTS, target.resident().size());
+        assertEquals(0, target.overflows());
+    }
+
     // Guards against requests that wait one after the other for adapters at a target that does not respond.
     @Test
     void targetThatDoesNotRespondIsReportedAndRefusesDemandsAtOnce() {
