Refuse paths with bytes that are no characters of a URI

Cause: the decoder reads a request line as ISO 8859-1, the encoder writes it as UTF-8, so each byte from 0x80 on became two.

Change: 400, nothing runs. Such a request line is invalid by RFC 9112, 3.2; forwarded as it came it would be compared and read differently by each hop.

--- a/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
+++ b/balsambank-daemon/src/main/java/org/balsambank/daemon/http/CallParser.java
@@ -30,6 +30,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String SERVICES = "/services/";
     private static final Pattern DOT_SEGMENT = Pattern.compile("/(\\.|%2[eE]){1,2}(/|$)");
+    private static final Pattern VISIBLE_ASCII = Pattern.compile("[!-~]*");
     private static final String IDEMPOTENCY_KEY = "idempotency-key";
     private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 200;
     private static final int DEFAULT_MAX_TOKENS = 256;
@@ -98,6 +99,9 @@
             final long deadlineNanos,
             final String traceParent)
             throws BalsambankException {
+        if (!VISIBLE_ASCII.matcher(request.uri()).matches()) {
+            throw malformed("the path or the query has a byte that is no character of a URI");
+        }
         if (request.method().equals(HttpMethod.CONNECT)) {
             throw malformed("a tunnel can't be opened to a path");
         }
--- a/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
+++ b/balsambank-daemon/src/test/java/org/balsambank/daemon/http/CallerServerTest.java
@@ -247,6 +247,16 @@
                         + "x".repeat(BODY_BYTES * 2)));
     }
 
+    // Guards against bytes of a path or query that are no characters of a URI and arrive as others at the target.
+    @Test
+    void pathsWithOtherBytesThanThoseOfAUriAreRefused() throws IOException {
+        assertRefused(ErrorKind.MALFORMED_REQUEST, post("/services/orders/Mu\u00f1oz", "", "{}"));
+        assertRefused(ErrorKind.MALFORMED_REQUEST, post("/services/orders/x?n=\u00f1", "", "{}"));
+        assertTrue(handled.isEmpty());
+        post("/services/orders/Mu%C3%B1oz", "", "{}");
+        assertEquals("/Mu%C3%B1oz", handled.get(0).path());
+    }
+
     // Guards against a success to CONNECT, whose body the caller takes for the bytes of a tunnel.
     @Test
     void requestForATunnelIsRefused() throws IOException {
