Bound the queue of the log by bytes, and the length of a value

Cause: the queue of the log was bounded by lines; 4,096 lines of 15 KB are more than the heap, and a batch being written was not counted.

Ruled out: heads of requests, which are accounted for.

JsonLogTest: 98,820,096 bytes queued; three tests failed.

Change: at most 4 MiB are queued or being written; a value is cut after 512 characters, and its length stands behind it.

JsonLogTest passes.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/log/JsonLog.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -20,20 +21,25 @@
 /**
  * Writes one JSON object per line.
  *
- * <p>Thread-safe. Lines wait in a bounded queue for the writer thread. A line that finds the queue full is dropped and
- * counted, and the count is written with the next line that fits.
+ * <p>Thread-safe. Lines wait for the writer thread in a queue that is bounded by lines and by bytes, as values come
+ * from callers; a long value is cut. A line that finds no room is dropped and counted, and the count is written with
+ * the next line that fits. Invariant: lines hold their room until the output has taken them.
  */
 public final class JsonLog implements DecisionLog {
     /** How long lines are collected before they are written as one batch. */
     private static final Duration BATCH_DELAY = Duration.ofMillis(100);
 
     private static final int QUEUE_CAPACITY = 4_096;
+    private static final long MAX_QUEUED_BYTES = 4_194_304;
+    private static final int MAX_VALUE_CHARS = 512;
+    private static final String CUT = "... (%d characters)";
     private static final int LINE_CHARS = 256;
 
     /** The size up to which Linux writes to a pipe all or nothing (PIPE_BUF), in bytes. */
     private static final int MAX_WRITE_BYTES = 4_096;
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
     private final OutputStream out;
     private final LongSupplier wallMillis;
@@ -114,6 +120,21 @@
             chunkLines++;
         }
         writeChunk(chunk, chunkLines);
+        queuedBytes.addAndGet(-lines.stream().mapToLong(JsonLog::heldBytes).sum());
+    }
+
+    /** Returns the most heap that the characters of a line take, in bytes. */
+    private static long heldBytes(final String line) {
+        return (long) line.length() * Character.BYTES;
+    }
+
+    private boolean enqueue(final String line) {
+        final long bytes = heldBytes(line);
+        if (queuedBytes.addAndGet(bytes) <= MAX_QUEUED_BYTES && queue.offer(line)) {
+            return true;
+        }
+        queuedBytes.addAndGet(-bytes);
+        return false;
     }
 
     private void writeChunk(final ByteArrayOutputStream chunk, final int lines) {
@@ -142,7 +163,11 @@
         @Override
         public Line with(final String field, final String value) {
             text.append(",\"").append(field).append("\":\"");
-            JsonStringEncoder.getInstance().quoteAsString(value, text);
+            final boolean cut = value.length() > MAX_VALUE_CHARS;
+            JsonStringEncoder.getInstance().quoteAsString(cut ? value.substring(0, MAX_VALUE_CHARS) : value, text);
+            if (cut) {
+                text.append(String.format(Locale.ROOT, CUT, value.length()));
+            }
             text.append('"');
             return this;
         }
@@ -159,7 +184,7 @@
             if (droppedLines > 0) {
                 with("dropped_lines", droppedLines);
             }
-            if (!queue.offer(text.append('}').toString())) {
+            if (!enqueue(text.append('}').toString())) {
                 dropped.incrementAndGet();
             }
         }
