--- a/balsambank-core/src/main/java/org/balsambank/core/serving/plan/MemorySize.java
+++ b/balsambank-core/src/main/java/org/balsambank/core/serving/plan/MemorySize.java
@@ -27,7 +27,7 @@
     /**
      * Returns what something needs.
      *
-     * @param megabytes the need, in units of a million bytes; a negative one counts as none
+     * @param megabytes the need, in units of a million bytes; a negative one, or one that is no number, counts as none
      * @return the need, rounded up to a byte
      */
     public static MemorySize needed(final double megabytes) {
@@ -37,7 +37,7 @@
     /**
      * Returns what something has room for.
      *
-     * @param megabytes the room, in units of a million bytes; a negative one counts as none
+     * @param megabytes the room, in units of a million bytes; a negative one, or one that is no number, counts as none
      * @return the room, rounded down to a byte
      */
     public static MemorySize available(final double megabytes) {
@@ -45,7 +45,10 @@
     }
 
     private static MemorySize of(final double megabytes, final RoundingMode rounding) {
-        final BigDecimal bytes = BigDecimal.valueOf(Math.max(0, megabytes))
+        if (!(megabytes > 0)) {
+            return ZERO;
+        }
+        final BigDecimal bytes = BigDecimal.valueOf(Math.min(megabytes, Double.MAX_VALUE))
                 .movePointRight(MEGABYTE_DIGITS)
                 .setScale(0, rounding);
         return new MemorySize(bytes.min(BigDecimal.valueOf(Long.MAX_VALUE)).longValue());
