Let the breakable target refuse connections before it ends its others

Cause: in the stand-in. Java returns from closing a listening socket while another thread still waits in accept; until that thread is scheduled, the system goes on accepting connections. So under load the target reset its connections first and refused new ones later, which no process that ends does. The finding was right for what the target did.

Change: the target waits for its acceptor to end before it resets the others. The test and what it expects are unchanged.

--- a/balsambank-gateway/src/test/java/org/balsambank/gateway/target/BreakableTarget.java
+++ b/balsambank-gateway/src/test/java/org/balsambank/gateway/target/BreakableTarget.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -24,10 +25,11 @@
     private final ServerSocket server = new ServerSocket();
     private final BlockingQueue<Action> actions = new LinkedBlockingQueue<>();
     private final List<Socket> connections = new CopyOnWriteArrayList<>();
+    private final Thread acceptor;
 
     BreakableTarget() throws IOException {
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        start(() -> {
+        acceptor = start(() -> {
             while (true) {
                 final Socket accepted = server.accept();
                 connections.add(accepted);
@@ -66,11 +68,22 @@
     @Override
     public void close() throws IOException {
         server.close();
+        awaitRefusal();
         for (final Socket each : connections) {
             reset(each);
         }
     }
 
+    /** Waits until the acceptor has left the socket, which goes on accepting connections as long as it is waited on. */
+    private void awaitRefusal() throws IOException {
+        try {
+            acceptor.join();
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the target ends");
+        }
+    }
+
     private static void reset(final Socket connection) throws IOException {
         if (!connection.isClosed()) {
             connection.setSoLinger(true, NO_LINGER);
@@ -100,7 +113,7 @@
         return true;
     }
 
-    private static void start(final Task task) {
+    private static Thread start(final Task task) {
         final Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -110,6 +123,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** What is done with the connection of a request. */
