End an attempt that fails in the VM as not sent

What callers saw: a target's entry named a port that does not exist; requests for which this target was chosen waited until their deadlines (503, or no answer).

Cause: Netty throws an IllegalArgumentException for such a port before there is a connection. The error ended the task of the event loop, and the attempt had no end. Class: an error in a task of the loop ends the task and nothing else. Calls of orders and reports ended, but as calls that the target may have received.

Ruled out: a connection that is tried and times out; its limit is 400 ms, the requests waited longer.

A call to an address that is none counts as not sent.

--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/PooledHttpClient.java
@@ -85,11 +85,19 @@
             if (reused.isPresent()) {
                 reused.get().send(request, emitter, timeout);
             } else {
-                connect(request, emitter, timeout);
+                openAndSend(request, emitter, timeout);
             }
         });
     }
 
+    private void openAndSend(final Request request, final SingleEmitter<Response> emitter, final Duration timeout) {
+        try {
+            connect(request, emitter, timeout);
+        } catch (final IllegalArgumentException e) {
+            emitter.tryOnError(new NotSentException("not an address: " + request.address()));
+        }
+    }
+
     private Optional<PooledConnection> takeIdle(final PoolKey key) {
         final Deque<PooledConnection> candidates = idle.getOrDefault(key, new ArrayDeque<>());
         PooledConnection candidate = candidates.pollLast();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseFaults.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/ResponseFaults.java
@@ -69,6 +69,19 @@
         line("response_swallowed", "swallowed").with("request", waiting.value()).write();
     }
 
+    /**
+     * Records an error of this VM in an attempt, for example an address to which no connection can be opened.
+     *
+     * @param request the request
+     * @param cause the error
+     */
+    void attemptFailed(final RequestId request, final Throwable cause) {
+        line("attempt_failed", "attempt_failed")
+                .with("request", request.value())
+                .with("cause", String.valueOf(cause))
+                .write();
+    }
+
     /** Records bytes on a connection on which no request waits. */
     void unsolicited() {
         line("response_unsolicited", "unsolicited").write();
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetAttempt.java
@@ -314,6 +314,15 @@
         }
     }
 
+    /** Handles an error of this VM in the attempt. The request counts as lost if a part of it may have been written. */
+    void failed() {
+        if (written) {
+            connectionLost();
+        } else {
+            notSent();
+        }
+    }
+
     @Override
     public boolean cancel() {
         if (!ended) {
--- a/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
+++ b/balsambank-gateway/src/main/java/org/balsambank/gateway/target/TargetConnectionPool.java
@@ -84,12 +84,25 @@
     }
 
     /**
-     * Starts an attempt on an idle connection or a new one.
+     * Starts an attempt on an idle connection or a new one. An attempt always ends, also by an error of this VM.
      *
      * @param attempt the attempt to start
      * @param maxConnections the maximum number of connections, 0 for no limit
      */
     void start(final TargetAttempt attempt, final int maxConnections) {
+        endOnError(attempt, () -> sendOrConnect(attempt, maxConnections));
+    }
+
+    private void endOnError(final TargetAttempt attempt, final Runnable step) {
+        try {
+            step.run();
+        } catch (final RuntimeException e) {
+            faults.attemptFailed(attempt.id(), e);
+            attempt.failed();
+        }
+    }
+
+    private void sendOrConnect(final TargetAttempt attempt, final int maxConnections) {
         final List<TargetConnection> unsuitable = new ArrayList<>();
         final Optional<TargetConnection> suitable = takeIdle(attempt.id(), unsuitable);
         unsuitable.forEach(idle::addLast);
@@ -141,7 +154,6 @@
     private void connect(final TargetAttempt attempt) {
         final StrictResponseDecoder decoder = new StrictResponseDecoder();
         final TargetConnection connection = new TargetConnection(this, decoder);
-        connecting++;
         final ChannelFuture connected = connector()
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -150,6 +162,7 @@
                     }
                 })
                 .connect();
+        connecting++;
         connected.addListener((ChannelFutureListener) done -> {
             connecting--;
             if (!done.isSuccess()) {
@@ -157,7 +170,9 @@
                 return;
             }
             all.add(connection);
-            NextPoll.runAfter(done.channel().eventLoop(), () -> sendOnNew(connection, done.channel(), attempt));
+            NextPoll.runAfter(
+                    done.channel().eventLoop(),
+                    () -> endOnError(attempt, () -> sendOnNew(connection, done.channel(), attempt)));
         });
     }
 
