--- a/review/standins-3/Case12.java
+++ b/review/standins-3/Case12.java
@@ -3,7 +3,6 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -38,7 +37,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         int code;
-        try (Rig rig = new Rig(Path.of(arguments[0]))) {
+        try (Rig rig = new Rig(arguments)) {
             code = new Case12(rig).run();
         } catch (final IOException e) {
             System.err.println("the case could not run: " + e);
--- a/review/standins-3/Case13.java
+++ b/review/standins-3/Case13.java
@@ -2,7 +2,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -33,7 +32,7 @@
 
     public static void main(final String[] arguments) throws Exception {
         int code;
-        try (Rig rig = new Rig(Path.of(arguments[0]))) {
+        try (Rig rig = new Rig(arguments)) {
             code = new Case13(rig).run();
         } catch (final IOException e) {
             System.err.println("the case could not run: " + e);
--- a/review/standins-3/Rig.java
+++ b/review/standins-3/Rig.java
@@ -20,16 +20,19 @@
     /** One VM. */
     record Vm(String name, String host, int callers, int ready, Process process, Path log) {}
 
-    final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    /** Whether the disruption is played. */
+    final boolean trouble;
+
     private final Path folder;
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
     private final List<Vm> vms = new ArrayList<>();
 
-    /** Opens the record of a case in its folder. */
-    Rig(final Path caseFolder) throws IOException {
+    /** Opens the record of a case; the arguments are its file and 1, or 0 for a run without the disruption. */
+    Rig(final String[] arguments) throws IOException {
+        trouble = !arguments[1].equals("0");
         folder = Files.createTempDirectory("balsambank-case-");
-        record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
+        record = new PrintWriter(Files.newBufferedWriter(Path.of(arguments[0])), true);
         note("TROUBLE=" + (trouble ? 1 : 0));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> vms.forEach(vm -> vm.process().destroyForcibly())));
     }
